--- /dev/null
+++ b/birchlead/adapter.py
@@ -0,0 +1,129 @@
+"""Hosts one `Balancer` per instance on the simulated host's wire: standard input to standard output.
+
+Translates and dispatches; decides nothing.
+"""
+
+from __future__ import annotations
+
+import gc
+import sys
+import traceback
+from typing import TextIO
+
+from birchlead import wire
+from birchlead.brain import Balancer
+from birchlead.interface import Endpoint, Event
+
+
+class Host:
+    """All instances of one process.  They share nothing but immutable lists, already read."""
+
+    def __init__(self) -> None:
+        self.balancers: dict[int, Balancer] = {}
+        self.pages: dict[int, tuple[Endpoint, ...]] = {}
+        self.at = -1
+        self.out: list[str] = []
+        self.replying_for = -1
+
+    def batch(self, header: str, lines: list[str]) -> list[str]:
+        """One batch, without its `end`; returns the reply's lines, with theirs."""
+        parts = header.split(" ")
+        try:
+            if len(parts) != 3 or parts[0] != "begin_batch":
+                raise ValueError
+            now, serial = int(parts[1]), int(parts[2])
+        except ValueError:
+            raise wire.WireError(f"'begin_batch' takes two numbers, got: {header[:99]}") from None
+        self.out, self.replying_for, self.at = [], -1, -1
+        position = 0
+        while position < len(lines):
+            position = self._line(now, lines, position)
+        self.out.append(f"end {serial}")
+        return self.out
+
+    def _line(self, now: int, lines: list[str], position: int) -> int:
+        line = lines[position]
+        word, _, rest = line.partition(" ")
+        if word == "register":
+            return self._register(lines, position)
+        if word == "at":
+            try:
+                self.at = int(rest)
+            except ValueError:
+                raise wire.WireError(f"expected 'at' with an instance, got: {line[:200]}") from None
+        elif word == "down":
+            self.balancers.pop(self.at, None)
+        elif word == "open_instance":
+            seed, _, env = rest.partition(" ")
+            if not seed.lstrip("-").isdigit():
+                raise wire.WireError(f"expected 'open_instance' with a seed and settings, got: {line[:200]}")
+            self.balancers[self.at] = Balancer(wire.settings(env), int(seed))
+        else:
+            self._event(now, line, word)
+        return position + 1
+
+    def _register(self, lines: list[str], position: int) -> int:
+        parts = lines[position].split(" ")
+        if len(parts) != 3 or not parts[1].isdigit() or not parts[2].isdigit():
+            raise wire.WireError(f"expected 'register' with two numbers, got: {lines[position][:200]}")
+        after = position + 1 + int(parts[2])
+        if after > len(lines):
+            raise wire.WireError(f"the batch ends before the entries of: {lines[position][:200]}")
+        self.pages[int(parts[1])] = tuple(wire.endpoint(row) for row in lines[position + 1 : after])
+        return after
+
+    def _event(self, now: int, line: str, word: str) -> None:
+        balancer = self.balancers.get(self.at)
+        event: Event
+        if word == "registry":
+            parts = line.split(" ")
+            if len(parts) != 4:
+                raise wire.WireError(f"expected 'registry' with 3 values, got: {line[:200]}")
+            try:
+                event = wire.upstream_list(parts, self.pages)
+            except ValueError as error:
+                raise wire.WireError(f"bad value in 'registry' ({error}): {line[:200]}") from None
+        else:
+            event = wire.event(line)
+        if balancer is None:
+            raise wire.WireError(f"an event for an instance that was not opened ({self.at}): {line[:200]}")
+        actions = balancer.handle(now, event)
+        if actions and self.replying_for != self.at:
+            self.replying_for = self.at
+            self.out.append(f"on_behalf {self.at}")
+        for action in actions:
+            self.out.append(wire.action_line(action))
+
+
+def run(source: TextIO, sink: TextIO, errors: TextIO) -> int:
+    host = Host()
+    gc.freeze()
+    while True:
+        header = source.readline()
+        if not header:
+            return 0
+        lines: list[str] = []
+        while True:
+            line = source.readline()
+            if not line.endswith("\n"):
+                print("the input ends within a batch: expected 'end'", file=errors)
+                return 2
+            line = line[:-1]
+            if line == "end":
+                break
+            lines.append(line)
+        try:
+            reply = host.batch(header.rstrip("\n"), lines)
+        except wire.WireError as error:
+            print(f"bad input: {error}", file=errors)
+            return 2
+        except Exception as error:  # the module failed: say so on the wire, in full on standard error
+            traceback.print_exc(file=errors)
+            what = f"{type(error).__name__}: {error}".replace("\n", " ")
+            reply = [f"on_behalf {host.at}", f"fatal {what}", f"end {header.split(' ')[2].strip()}"]
+        sink.write("\n".join(reply) + "\n")
+        sink.flush()
+
+
+if __name__ == "__main__":
+    sys.exit(run(sys.stdin, sys.stdout, sys.stderr))
--- /dev/null
+++ b/birchlead/interface.py
@@ -0,0 +1,257 @@
+"""What a balancer is told and what it may ask for: settings, events, actions and outcomes.
+
+Plain data only.  Times are whole microseconds on the host's clock; ids are opaque.
+`birchlead.brain.Balancer` takes a `Settings` at the start, then one event at a time,
+and answers each with a list of actions.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Idempotency(Enum):
+    """What a class of requests allows once an attempt may have run."""
+
+    REPEATABLE = "repeatable"
+    KEYED = "keyed"
+    UNSAFE = "unsafe"
+
+
+class KeyScope(Enum):
+    """Which upstreams discard a keyed request's repeats."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class Lifecycle(Enum):
+    SERVING = "serving"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class ListKind(Enum):
+    """How an `UpstreamList` relates to the list held so far."""
+
+    CHANGES = "changes"
+    FULL = "full"
+    CACHED = "cached"  # the list as last held before a restart, perhaps stale
+    BROKEN = "broken"  # a watch or a fetch failed; nothing is said about upstreams
+
+
+class Outcome(Enum):
+    """How an attempt, or a probe, ended."""
+
+    OK = "ok"
+    ERROR = "error"
+    REJECTED = "rejected"  # turned away unseen
+    TIMEOUT = "timeout"
+    CONNECT_FAILED = "connect failed"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    NOT_SENT = "not sent"
+
+
+# --- settings -------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    name: str
+    aim: int  # an answer within this time earns its full worth
+    deadline: int  # how long a client waits in all, over every try
+    idempotency: Idempotency = Idempotency.UNSAFE
+    key_scope: KeyScope = KeyScope.ALL
+    key_memory: int = 0  # how long repeats of a keyed request are discarded
+    worth: float = 1.0
+    late_worth: float = 0.0  # share of the worth an answer earns between aim and deadline
+    aim_stretch: float = 0.0  # the aim grows by this multiple of the request's own work
+    stream: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    name: str
+    fraction: float = 0.0
+    quota_per_s: float = 0.0  # over all balancers together; 0 = no quota
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    classes: tuple[RequestClass, ...]
+    tenants: tuple[Tenant, ...] = ()
+    balancers: int = 1  # instances of this tier, this one included
+    tier: int = 0  # the tier this balancer sends into
+    resolution: int = 1000  # the shortest time between two events
+    marks_retry: bool = False  # clients mark repeats, so an unmarked request is a first try
+    passes_deadline: bool = True  # calls carry the time their caller has left
+    list_on_request: bool = False  # the list must be watched or fetched
+    ask_within: int = 10_000_000  # unasked for this long counts as told what is listed
+    release_within: int = 0  # idle connections to a leaving upstream close within this; 0 = no such rule
+    cold_share: float = 0.1
+    cold_time: int = 30_000_000
+    fall_multiple: float = 3.0
+    probes: bool = False
+    cancel: bool = True
+    max_attempts: int = 3
+    connect_timeout: int = 250_000
+    idle_close: int = 60_000_000  # idle connections are closed after this
+    max_retry_after: int = 0  # the longest advice a client follows; 0 = none reaches it
+    over_share_worth: float = 1.0
+    probe_price: float = 0.0  # points for each probe, as a share of one request's worth
+
+
+# --- events ---------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """One row of an upstream list."""
+
+    upstream: str
+    zone: str = ""
+    kind: str = ""
+    cell: int = 0
+    state: Lifecycle = Lifecycle.SERVING
+    weight: float = 1.0
+    started_at: int = 0  # 0 = long ago
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What an upstream says of itself; None where it says nothing."""
+
+    in_flight: float | None = None
+    waiting: float | None = None
+    utilization: float | None = None
+
+
+@dataclass(slots=True)
+class UpstreamList:
+    kind: ListKind
+    endpoints: tuple[Endpoint, ...] = ()
+    version: int = 0
+
+
+@dataclass(slots=True)
+class Request:
+    request: str
+    class_name: str
+    deadline: int  # the clock time at which the client leaves
+    tenant: str = ""
+    key: str = ""
+    is_retry: bool = False
+    is_write: bool = False
+    work_hint: int = 0  # 0 = none
+
+
+@dataclass(slots=True)
+class AnswerStarted:
+    request: str
+    attempt: int
+    upstream: str
+    latency: int = 0
+
+
+@dataclass(slots=True)
+class AttemptEnded:
+    request: str
+    attempt: int
+    upstream: str
+    outcome: Outcome
+    latency: int = 0
+    request_ended: bool = False
+    load: LoadReport | None = None
+
+
+@dataclass(slots=True)
+class ClientGone:
+    request: str
+
+
+@dataclass(slots=True)
+class TimerFired:
+    token: int
+
+
+@dataclass(slots=True)
+class ProbeEnded:
+    upstream: str
+    outcome: Outcome
+    latency: int = 0
+    load: LoadReport | None = None
+
+
+@dataclass(slots=True)
+class PeerMessage:
+    sender: int
+    payload: bytes
+
+
+Event = (
+    UpstreamList | Request | AnswerStarted | AttemptEnded | ClientGone | TimerFired | ProbeEnded | PeerMessage
+)
+
+
+# --- actions --------------------------------------------------------------------------------
+
+
+@dataclass(slots=True)
+class Send:
+    """Start the request's next attempt; attempts count 0, 1, 2 ... in the order of their sends."""
+
+    request: str
+    upstream: str
+    until: int  # the clock time at which to give the attempt up
+
+
+@dataclass(slots=True)
+class CancelAttempt:
+    request: str
+    attempt: int
+
+
+@dataclass(slots=True)
+class Refuse:
+    """Final: the request had no effect and may be tried again, preferably after `retry_after`."""
+
+    request: str
+    retry_after: int = 0
+
+
+@dataclass(slots=True)
+class Fail:
+    """Final: no answer, and no claim about effects."""
+
+    request: str
+
+
+@dataclass(slots=True)
+class SetTimer:
+    delay: int
+    token: int
+
+
+@dataclass(slots=True)
+class Probe:
+    upstream: str
+
+
+@dataclass(slots=True)
+class Release:
+    """Close this copy's idle connections to an upstream."""
+
+    upstream: str
+
+
+@dataclass(slots=True)
+class WatchList:
+    """Ask for the changes of the upstream list from now on."""
+
+    on: bool = True
+
+
+Action = Send | CancelAttempt | Refuse | Fail | SetTimer | Probe | Release | WatchList
