Read before late alarms act: an answer that came during a stall is served

Found on the way: after a stall of the process uvloop runs due timers before it reads, so Alarm._ring gave attempts up whose answer lay unread. The new test fails without the change (502) and passes with it (200). Failed attempts and probes are told in the debug log.

--- a/birchlead/net/node.py
+++ b/birchlead/net/node.py
@@ -42,6 +42,7 @@
 PROBE = b"GET /status/load HTTP/1.1\r\nHost: %s\r\n\r\n"
 PROBE_SHARE = 0.25  # of the connect time-out: word that takes longer says nothing of the present
 EARLY_S = 0.001  # the loop's timers have whole milliseconds
+LATE_US = 4000  # an alarm later than this tells of a stall
 
 REFUSED, FAILED, OVERDUE, BROKEN = 503, 502, 504, 500
 
@@ -64,15 +65,18 @@
     """A timer that is never early.
 
     Guards against the loop's timers, which count whole milliseconds from the start of its turn: a module
-    that is woken before its time finds nothing due, and would not be woken again.
+    that is woken before its time finds nothing due, and would not be woken again.  And against stalls of
+    the process: the loop runs late timers before it reads, so an answer that came in time, and lies unread,
+    would be given up.  A late alarm lets the loop read first.
     """
 
-    __slots__ = ("_callback", "_clock", "_due", "_handle", "_loop")
+    __slots__ = ("_callback", "_clock", "_due", "_handle", "_loop", "_put_off")
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, clock: Clock, due: int, callback: Callable[[], None]
     ) -> None:
         self._loop, self._clock, self._due, self._callback = loop, clock, due, callback
+        self._put_off = False
         self._handle = loop.call_later(max(0.0, (due - clock.now()) / 1e6), self._ring)
 
     def cancel(self) -> None:
@@ -82,6 +86,9 @@
         early = self._due - self._clock.now()
         if early > 0:
             self._handle = self._loop.call_later(max(EARLY_S, early / 1e6), self._ring)
+        elif -early > LATE_US and not self._put_off:
+            self._put_off = True
+            self._handle = self._loop.call_later(EARLY_S, self._ring)
         else:
             self._callback()
 
@@ -298,6 +305,10 @@
         elif exchange.done and exchange.out == 0:
             self._exchanges.pop(exchange.id, None)
         latency = self.clock.now() - attempt.sent
+        if result.outcome is not Outcome.OK:
+            log.debug(
+                "%s/%d to %s: %s, %d us", exchange.id, number, attempt.upstream, result.outcome, latency
+            )
         ended = AttemptEnded(
             exchange.id, number, attempt.upstream, result.outcome, latency, exchange.done, result.load
         )
@@ -330,6 +341,8 @@
         exchange = self._exchanges.get(request)
         if exchange is not None and not exchange.done:
             self._close(exchange)
+            left = exchange.deadline - self.clock.now()
+            log.debug("%s: answered %d, %d us before its deadline", request, status, left)
             exchange.caller.answer(status, retry_after=retry_after)
 
     def _overdue(self, exchange: Exchange) -> None:
@@ -369,6 +382,8 @@
         if load is None and result.outcome is Outcome.OK:
             load = load_report(result.body.decode("latin-1"))
         latency = self.clock.now() - attempt.sent
+        if result.outcome is not Outcome.OK:
+            log.debug("probe of %s: %s, %d us", attempt.upstream, result.outcome, latency)
         self._post(ProbeEnded(attempt.upstream, result.outcome, latency, load))
 
     def _release(self, action: Release) -> None:
--- a/tests/net/test_attempts.py
+++ b/tests/net/test_attempts.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import socket
+import time
+from typing import cast
 
 import pytest
 from peers import (
@@ -323,6 +325,30 @@
     run(main())
 
 
+class Stalling(asyncio.Protocol):
+    """An upstream that answers and then stops the whole loop, in the midst of its reading."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(high=0)  # the answer is out before the stall
+
+    def data_received(self, data: bytes) -> None:
+        self.transport.write(answer())
+        time.sleep(0.25)
+
+
+def test_an_answer_that_came_during_a_stall_is_served() -> None:
+    """The process stood still past the attempt's time while the answer lay unread: it is read first."""
+
+    async def main() -> None:
+        server = await asyncio.get_running_loop().create_server(Stalling, "127.0.0.1", 0)
+        bench = Bench(send_once(until=lambda now: now + 100_000))
+        bench.list(server.sockets[0].getsockname()[1])
+        assert (await (await bench.caller()).ask())[0] == 200
+
+    run(main())
+
+
 def test_a_caller_that_closes_has_gone_and_its_attempt_is_cancelled() -> None:
     async def main() -> None:
         peer = await Peer(silent).start()
