--- a/birchlead/__main__.py
+++ b/birchlead/__main__.py
@@ -28,7 +28,7 @@
 log = logging.getLogger("birchlead")
 
 RESERVED_DESCRIPTORS = 48  # the loop's own, discovery, standard streams, and those being closed
-DRAIN_EXTRA_S = 0.5  # SIGKILL comes 0.7 s after the longest deadline at the soonest
+DRAIN_EXTRA_S = 0.6  # SIGKILL comes 0.7 s after the longest deadline at the soonest
 
 
 class CannotListen(Exception):
--- a/birchlead/net/server.py
+++ b/birchlead/net/server.py
@@ -28,7 +28,7 @@
 DRAIN_ANSWER_S = 5.0  # for a caller to take an answer
 SWEEP_S = 2.0
 ACCEPT_PAUSE_S = 0.02
-LAST_CALL_S = 0.4  # after SIGTERM, connections go on coming for up to this long
+LAST_CALL_S = 0.45  # after SIGTERM, connections go on coming for up to 0.4 s
 FRESH_S = 0.25  # a connection this young gets the time to send its first request
 
 API, READY = b"/api", b"/ready"
--- a/birchlead/net/upstream.py
+++ b/birchlead/net/upstream.py
@@ -117,8 +117,7 @@
         self._body: list[bytes] = []
         self._size = 0
         self._finished: Result | None = None
-        self._surplus = False
-        self._keep_alive = False
+        self._surplus = self._keep_alive = self._in_body = False
 
     # --- use
 
@@ -198,15 +197,19 @@
         if self._finished is not None:
             self._surplus = True
             return
-        self._headers, self._body, self._size = [], [], 0
+        self._headers, self._body, self._size, self._in_body = [], [], 0, False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._size += len(name) + len(value)
-        if self._size > MAX_HEADERS:
+        if self._size > MAX_HEADERS and not self._in_body:
             raise ValueError("headers too large")
-        if self._finished is None:
+        # A trailer must not say that a request was turned away whose answer has begun.
+        if self._finished is None and not self._in_body:
             self._headers.append((name, value))
 
+    def on_headers_complete(self) -> None:
+        self._in_body = True
+
     def on_body(self, data: bytes) -> None:
         self._size += len(data)
         if self._size > MAX_ANSWER:
--- a/tests/net/test_attempts.py
+++ b/tests/net/test_attempts.py
@@ -41,6 +41,10 @@
         (answer(503), Outcome.ERROR),  # proves nothing without the header
         (answer(504, b"", "X-Turned-Away: 0"), Outcome.ERROR),
         (answer(500, b"", TURNED_AWAY), Outcome.ERROR),
+        (
+            b"HTTP/1.1 503 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Turned-Away: 1\r\n\r\n",
+            Outcome.ERROR,  # nor with it in a trailer
+        ),
         (b"SSH-2.0-x\r\n\r\n", Outcome.RESET),
         (b"HTTP/1.1 200 OK\r\nContent-Length: nine\r\n\r\n", Outcome.RESET),
         (b"HTTP/1.1 200 OK\r\nContent-Length: 9999999\r\n\r\n" + b"x" * 2_000_000, Outcome.RESET),
