Answer the requests that were read behind another also when leaving

Seen on reading CallerConnection._respond: while draining it closed after the first answer, with requests in _waiting that were read, and so taken. The new test (two requests, a bad one and /ready in one write, then the drain) fails without the change and passes with it.

--- a/birchlead/net/server.py
+++ b/birchlead/net/server.py
@@ -345,7 +345,7 @@
         arrival, self._current = self._current, None
         if arrival is None or self._transport is None or self._transport.is_closing():
             return
-        close = not arrival.keep_alive or self._server.draining
+        close = not arrival.keep_alive or self._leaving
         head_only = arrival.method == b"HEAD"
         out = response(status, body, content_type, retry_after, close)
         self._transport.write(out[: len(out) - len(body)] if head_only else out)
@@ -355,6 +355,11 @@
             self._last = True
             self._transport.close()
 
+    @property
+    def _leaving(self) -> bool:
+        """Whether this answer is the last: requests that were read are answered also when leaving."""
+        return self._server.draining and not self._waiting
+
     def _refuse(self, bad: Bad) -> None:
         """Answer what is not served; where the rest of it may still come, wait for it a while.
 
@@ -363,9 +368,7 @@
         arrival, self._current = self._current, None
         if self._transport is None or self._transport.is_closing():
             return
-        keep = (
-            arrival is not None and arrival.bad is None and arrival.keep_alive and not self._server.draining
-        )
+        keep = arrival is not None and arrival.bad is None and arrival.keep_alive and not self._leaving
         self._transport.write(
             response(bad.status, f"{bad.why}\n".encode(), b"text/plain", 0, not keep, bad.extra)
         )
--- a/tests/net/test_callers.py
+++ b/tests/net/test_callers.py
@@ -277,6 +277,29 @@
     run(main())
 
 
+def test_requests_that_were_read_are_answered_also_when_leaving() -> None:
+    """Closing after the first answer would lose those that were read behind it."""
+
+    async def main() -> None:
+        module = Module(lambda event: [])
+        bench = Bench(module)
+        bench.list(1)
+        caller = await bench.caller()
+        first, ready = request("a1", ms=300), b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
+        caller.writer.write(first + request("a2", ms=600) + GOOD.replace(b"X-Lane", b"X-None") + ready)
+        await module.next(api.Request)
+        leaving = asyncio.create_task(bench.server.drain(5.0))
+        for status, connection in ((504, None), (504, None), (400, None), (503, "close")):
+            got, headers, _ = await caller.read()
+            assert (got, headers.get("connection")) == (status, connection)
+        assert await caller.ended()
+        await leaving
+        with pytest.raises(ConnectionRefusedError):
+            await Caller.to(bench.port)
+
+    run(main())
+
+
 def test_eviction_spares_callers_with_a_request() -> None:
     async def main() -> None:
         module = Module(lambda event: [])
