Handle SIGHUP: read the file again and follow its discovery

Cause: serve() set no handler for SIGHUP, so its default ended the program. Now the file is read again (a bad one changes nothing), the watch moves to its address and asks for the whole list, as versions may count anew there. The new test (half a file, then a new discovery that counts from 1, a held request, then SIGTERM) fails before.

--- a/birchlead/__main__.py
+++ b/birchlead/__main__.py
@@ -89,6 +89,25 @@
         raise BadConfig(f"{path}: {error}") from None
 
 
+def reload(config: Config, discovery: Discovery) -> None:
+    """SIGHUP: read the file again and follow the address of discovery that it names.
+
+    Guards against the signal's default, which would end the program with all that it holds, and against a
+    file that is bad or half written: then what is in force stays.  The environment told the start only: here
+    the file's word counts.  The rest of it needs a restart.
+    """
+    environ = {name: value for name, value in os.environ.items() if name != "RELAY_DISCOVERY"}
+    try:
+        told = load_config(environ)
+    except BadConfig as error:
+        log.error("%s: the configuration stays as it is: %s", config.name, error)
+        return
+    log.info("%s: configuration read again; discovery at %s:%d", config.name, *told.discovery)
+    if (told.listen, told.sockets, told.settings) != (config.listen, config.sockets, config.settings):
+        log.warning("%s: only discovery changes without a restart", config.name)
+    discovery.move(told.discovery)
+
+
 async def serve(config: Config) -> None:
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
@@ -102,6 +121,7 @@
     rng = random.Random(config.seed ^ 0x5EED)
     discovery = Discovery(node, config.discovery, settings.list_on_request, rng)
     node.watch = discovery
+    loop.add_signal_handler(signal.SIGHUP, reload, config, discovery)
     try:
         server = Server(loop, node, budget, config.listen)
         discovery.start(config.known)
@@ -129,6 +149,7 @@
         format="%(asctime)s.%(msecs)03d %(levelname)s %(name)s: %(message)s",
         datefmt="%H:%M:%S",
     )
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop runs: what it asks for is read then anyway
     try:
         config = load_config(dict(os.environ))
     except BadConfig as error:
--- a/birchlead/net/discovery.py
+++ b/birchlead/net/discovery.py
@@ -131,6 +131,7 @@
     def __init__(self, node: Node, address: Address, on_request: bool, rng: random.Random) -> None:
         self._node, self._address, self._on_request, self._rng = node, address, on_request, rng
         self._index = 0
+        self._watching = False  # also between two watches, while the next is awaited
         self._task: asyncio.Task[None] | None = None
         self._stream: _Stream | None = None
 
@@ -141,12 +142,26 @@
         if not self._on_request:
             self.watch(True)
 
+    def move(self, address: Address) -> None:
+        """Go on with another discovery.  The list and what was sent by it stay as they are.
+
+        Guards against versions that the new one counts anew, so that `after` would skip changes or wait
+        for a number that never comes: it is asked for the whole list.
+        """
+        if address == self._address:
+            return
+        self._address, self._index = address, 0
+        if self._watching:
+            self.watch(True)
+
     def watch(self, on: bool) -> None:
         self.close()
+        self._watching = on
         if on:
             self._task = asyncio.get_running_loop().create_task(self._keep())
 
     def close(self) -> None:
+        self._watching = False
         if self._task is not None:
             self._task.cancel()
             self._task = None
@@ -165,7 +180,7 @@
             begun = asyncio.get_running_loop().time()
             why = await self._follow()
             if self._on_request:
-                self._task = None
+                self._task, self._watching = None, False
                 log.info("discovery: %s; the module is told", why)
                 self._node.listed(ListKind.BROKEN, ())
                 return
--- a/tests/net/test_process.py
+++ b/tests/net/test_process.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 import pytest
-from peers import WATCH_HEAD, Caller, Peer, answer, replies, row, run
+from peers import WATCH_HEAD, Caller, Peer, answer, replies, row, run, watch_line
 
 ROOT = Path(__file__).parent.parent.parent
 SETTINGS = {
@@ -37,10 +37,12 @@
     }
 
 
-async def start(path: Path | None) -> asyncio.subprocess.Process:
+async def start(path: Path | None, discovery: str = "") -> asyncio.subprocess.Process:
     env = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
     if path is not None:
         env["RELAY_CONFIG"] = str(path)
+    if discovery:
+        env["RELAY_DISCOVERY"] = discovery
     pipe = asyncio.subprocess.PIPE
     command = (sys.executable, "-m", "birchlead")
     return await asyncio.create_subprocess_exec(*command, cwd=ROOT, env=env, stderr=pipe, stdout=pipe)
@@ -166,3 +168,56 @@
         assert b"Traceback" not in errors
 
     run(main())
+
+
+def test_sighup_moves_the_watch_and_drops_nothing(tmp_path: Path) -> None:
+    """Each SIGHUP under load: the request in hand is served, the new discovery's word counts, also where the
+    environment named the old one, and a bad file changes nothing.  SIGTERM still drains after it."""
+
+    async def main() -> None:
+        hold = asyncio.Event()
+
+        async def script(message: tuple[str, dict[str, str], bytes], writer: asyncio.StreamWriter) -> None:
+            if message[1]["x-txn"] == "held":
+                await hold.wait()
+            writer.write(answer(200, b"old"))
+
+        old, new = await Peer(script).start(), await Peer(replies(answer(200, b"new"))).start()
+        first = await Peer(replies(WATCH_HEAD)).start()
+        listed = watch_line(1, row("u1", new.port), snapshot=True)  # counts anew, below what is known
+        second = await Peer(replies(WATCH_HEAD + listed)).start()
+        path = tmp_path / "config.json"
+        known = {"index": 90, "snapshot": True, "endpoints": [row("u0", old.port)]}
+        path.write_text(json.dumps(config(first.port, known=known)))
+        process = await start(path, f"127.0.0.1:{first.port}")
+        try:
+            caller, held = await Caller.to(port := await port_of(process)), await Caller.to(port)
+            await first.got.get()
+            held.send("held", "buy", 1900)
+            await old.got.get()
+            path.write_text('{"half')
+            process.send_signal(signal.SIGHUP)
+            assert process.stderr is not None
+            while b"stays as it is" not in await process.stderr.readline():
+                pass
+            assert (await caller.ask("a1"))[::2] == (200, b"old")
+            path.write_text(json.dumps(config(second.port, known=known)))
+            process.send_signal(signal.SIGHUP)
+            line = (await second.got.get())[0]
+            assert "after=0 " in line
+            await first.closed.get()
+            number, body = 0, b"old"
+            while body == b"old":  # until the list's line has been read
+                number += 1
+                status, _, body = await caller.ask(f"b{number}")
+                assert status == 200
+            hold.set()
+            assert (await held.read())[::2] == (200, b"old")
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+        finally:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+
+    run(main())
