Turn away bad requests at the door; time callers from the first byte; share the sockets

Lines at fault: CallerConnection._read took any X-Lane, in_flight forgot an id with its answer. Also mended, with tests: each byte renewed 'since', so drips lived 20 s and silence 120 s; headers were counted when whole; silent callers could take the whole budget; absurd deadlines held state.

--- a/birchlead/net/node.py
+++ b/birchlead/net/node.py
@@ -44,6 +44,8 @@
 EARLY_S = 0.001  # the loop's timers have whole milliseconds
 LATE_US = 4000  # an alarm later than this tells of a stall
 
+REMEMBERED = 1024  # ids
+
 REFUSED, FAILED, OVERDUE, BROKEN = 503, 502, 504, 500
 
 
@@ -160,6 +162,8 @@
         self.watch: Watch | None = None
         self._module = module
         self._exchanges: dict[str, Exchange] = {}
+        self._ended: dict[str, None] = {}  # ids of the latest requests that have ended
+        self.classes = {cls.name: cls for cls in settings.classes}
         self._addresses: dict[str, Address] = {}
         self._serving: set[str] = set()
         self._events: deque[Event] = deque()
@@ -188,6 +192,10 @@
     def in_flight(self, request: str) -> bool:
         return request in self._exchanges
 
+    def known(self, request: str) -> bool:
+        """Whether the id is in flight, or was of late."""
+        return request in self._exchanges or request in self._ended
+
     def submit(self, request: Request, message: Message, caller: Caller) -> None:
         """Take a request; `caller` gets exactly one answer, by the deadline, unless `gone` is called."""
         exchange = Exchange(request.request, caller, message, request.deadline)
@@ -326,6 +334,9 @@
     def _close(self, exchange: Exchange) -> None:
         """The only place that ends a request: after it no answer is given."""
         exchange.done = True
+        self._ended[exchange.id] = None
+        if len(self._ended) > REMEMBERED:
+            del self._ended[next(iter(self._ended))]
         if exchange.overdue is not None:
             exchange.overdue.cancel()
         if exchange.out == 0:
--- a/birchlead/net/server.py
+++ b/birchlead/net/server.py
@@ -13,7 +13,7 @@
 
 import httptools
 
-from birchlead.interface import Request
+from birchlead.interface import Idempotency, Request
 from birchlead.net.node import Message, Node
 from birchlead.net.sockets import Address, SocketBudget
 
@@ -22,14 +22,21 @@
 MAX_BODY = 64 << 10
 MAX_HEAD = 16 << 10
 BACKLOG = 1024
-IDLE_S = 120.0  # a caller's connection with no request on it
-REQUEST_S = 20.0  # a request of which a part has come
-LINGER_S = 1.0  # for the caller to read an answer that came before its request's end
-DRAIN_ANSWER_S = 5.0  # for a caller to take an answer
-SWEEP_S = 2.0
+IDLE_S = 60.0  # a caller's connection with no request on it
+CROWDED_IDLE_S = 2.0  # the same, where callers hold much of their share
+CALLERS_SHARE = 0.6  # of all sockets; usual callers hold a third for requests
+CROWDED = 0.4  # of the callers' share
+SILENT_S = 2.0  # a connection from its start to its first byte
+REQUEST_S = 2.0  # a request from its first byte to its last
+LINGER_S = 0.7  # for the caller to read an answer that came before its request's end
+DRAIN_ANSWER_S = 2.0  # for a caller to take an answer
+SWEEP_S = 0.25
+PIECE = 16 << 10  # what the parser is given at once
+ACCEPT_MOST = 64  # connections taken in one turn of the loop
 ACCEPT_PAUSE_S = 0.02
 LAST_CALL_S = 0.45  # after SIGTERM, connections go on coming for up to 0.4 s
-FRESH_S = 0.25  # a connection this young gets the time to send its first request
+DRAIN_FRESH_S = 0.25  # when leaving, the same
+FRESH_S = 0.1  # a connection this young gets the time to send its first request
 
 API, READY = b"/api", b"/ready"
 ID = re.compile(rb"[0-9A-Za-z._~-]{1,64}")
@@ -111,7 +118,10 @@
         self._timer: asyncio.TimerHandle | None = None
         self._full = False  # answers wait in the transport
         self._deaf = False  # what came cannot be read; nor can what follows
-        self.since = self._loop.time()  # of the last sign of life
+        self.opened = self.since = self._loop.time()  # `since`: the last answer
+        self.began = 0.0  # the first byte of the request that is being read: later ones do not renew it
+        self._raw = 0  # bytes since the head's start or the last part of a body
+        self._moved = False  # whether a piece brought a part of a body or an end
         self.served = 0
         self._reset()
 
@@ -128,16 +138,27 @@
     def idle(self) -> bool:
         return self._current is None and not self._waiting and not self._partial and not self._last
 
+    def too_slow(self, now: float) -> bool:
+        """Whether the rest of a request is overdue; a first one counts from the start of its connection."""
+        begun = self.began if self.served else self.opened
+        return self._current is None and self._partial and not self._last and now - begun > REQUEST_S
+
     @property
-    def stuck(self) -> bool:
-        return self._current is None and self._partial
+    def silent(self) -> bool:
+        """Nothing has come on it yet."""
+        return self.idle and not self.served
 
-    def close(self) -> None:
+    @property
+    def leaving(self) -> bool:
+        """It has had its last answer, and only waits for its caller to read that."""
+        return self._last
+
+    def close(self, at_once: bool = False) -> None:
         self._last = True
         if self._transport is not None:
-            self._transport.close()
+            (self._transport.abort if at_once else self._transport.close)()
 
-    def too_slow(self) -> None:
+    def give_up(self) -> None:
         """A request whose rest does not come."""
         self._refuse(Bad(408, "the request's rest did not come"))
 
@@ -147,19 +168,37 @@
         self._transport = cast(asyncio.Transport, transport)  # uvloop's is one without deriving from it
 
     def data_received(self, data: bytes) -> None:
-        if self._deaf or self._last:
-            return
-        self.since = self._loop.time()
-        self._partial = True
+        for start in range(0, len(data), PIECE):
+            if self._deaf or self._last:
+                return
+            self._feed(data[start : start + PIECE] if len(data) > PIECE else data)
+            self._next()
+
+    def _feed(self, piece: bytes) -> None:
+        """Parse a piece.
+
+        Guards against what has no end: the parser joins the pieces of a header, or of a trailer, and tells
+        of it when it is whole, so bytes that bring neither body nor end are counted here.
+        """
+        if not self._partial:
+            self.began, self._raw = self._loop.time(), 0
+        self._partial, self._moved = True, False
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(piece)
+            if self._moved:
+                self._raw = 0
+            else:
+                self._raw += len(piece)
+                if self._raw > MAX_HEAD:
+                    raise Bad(431, "headers too large")
         except httptools.HttpParserUpgrade:
             self._broken(Bad(400, "no upgrade is offered"))
         except httptools.HttpParserError as error:
             # An exception of our own in a callback comes wrapped.
             inner = error.__context__
             self._broken(inner if isinstance(inner, Bad) else Bad(400, f"malformed HTTP: {error}"))
-        self._next()
+        except Bad as bad:
+            self._broken(bad)
 
     def eof_received(self) -> bool:
         return False  # a caller that ends its sending has gone away
@@ -245,6 +284,7 @@
                 self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
+        self._moved = True
         self._body_size += len(data)
         if self._body_size > MAX_BODY:
             raise Bad(413, "body too large")
@@ -256,6 +296,7 @@
             method, self._target, self._headers, b"".join(self._body), keep_alive, self._node.clock.now()
         )
         self._reset()
+        self._moved = True
         self._waiting.append(arrival)
         if len(self._waiting) > 1 and self._transport is not None:
             self._transport.pause_reading()  # bounds what a caller can make this process hold
@@ -308,14 +349,22 @@
             raise Bad(400, "X-Lane is missing or bad")
         if not MILLISECONDS.fullmatch(left):
             raise Bad(400, "X-Remaining-Ms is missing or bad")
-        name = txn.decode("ascii")
-        if self._node.in_flight(name):
-            raise Bad(400, "X-Txn is in flight already")
+        name, class_name = txn.decode("ascii"), lane.decode("ascii")
+        # Upstreams turn these away, each after probes and attempts that the usual callers lack then.
+        cls = self._node.classes.get(class_name)
+        if cls is None:
+            raise Bad(400, "X-Lane names no class")
+        if (arrival.method == b"GET") is not (cls.idempotency is Idempotency.REPEATABLE):
+            raise Bad(400, "the method is not its class's")
+        if cls.idempotency is Idempotency.KEYED and not headers.get(b"idempotency-key"):
+            raise Bad(400, "Idempotency-Key is missing")
+        if self._node.known(name):  # also when answered: no caller uses an id twice, but one may steal it
+            raise Bad(400, "X-Txn has been used")
         estimate = headers.get(b"x-estimate", b"")
         request = Request(
             request=name,
-            class_name=lane.decode("ascii"),
-            deadline=arrival.at + int(left) * 1000,
+            class_name=class_name,
+            deadline=arrival.at + min(int(left) * 1000, cls.deadline),  # more would hold state for nothing
             tenant=headers.get(b"x-org", b"").decode("latin-1"),
             key=headers.get(b"x-entity", b"").decode("latin-1"),
             is_retry=headers.get(b"x-resent") == b"1",
@@ -368,6 +417,7 @@
         arrival, self._current = self._current, None
         if self._transport is None or self._transport.is_closing():
             return
+        self.served += 1
         keep = arrival is not None and arrival.bad is None and arrival.keep_alive and not self._leaving
         self._transport.write(
             response(bad.status, f"{bad.why}\n".encode(), b"text/plain", 0, not keep, bad.extra)
@@ -393,8 +443,9 @@
         self._connections: set[CallerConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._accepting = False
-        self._last_accept = 0.0
         self._complaints = 0
+        # The rest is for attempts: callers, however many, must not keep those who ask from being served.
+        self._share = max(1, int(budget.limit * CALLERS_SHARE))
         budget.on_short(self._evict)
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self._socket = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
@@ -426,7 +477,7 @@
         while self._connections and self.loop.time() - begun < within_s:
             now = self.loop.time()
             for connection in list(self._connections):
-                if connection.idle and (connection.served or now - connection.since >= FRESH_S):
+                if connection.idle and (connection.served or now - connection.since >= DRAIN_FRESH_S):
                     connection.close()
             await asyncio.sleep(0.01)
 
@@ -460,7 +511,9 @@
 
     def _accept(self) -> None:
         """Take what waits, as far as sockets go round; the rest waits with the kernel, not lost."""
-        while True:
+        for _ in range(ACCEPT_MOST):
+            if len(self._connections) >= self._share and not self._evict():
+                break
             if not self._budget.claim():
                 break
             try:
@@ -476,6 +529,8 @@
             task = self.loop.create_task(self._welcome(sock))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
+        else:
+            return  # others have their turn; the loop comes back for the rest
         self._pause()
         self.loop.call_later(ACCEPT_PAUSE_S, self._resume)
 
@@ -492,20 +547,24 @@
             sock.close()
 
     def _evict(self) -> bool:
-        """Close the caller's connection that has been idle longest: its next request takes a new one."""
-        idle = [c for c in self._connections if c.idle and self.loop.time() - c.since > FRESH_S]
-        if not idle:
+        """Make room: a silent caller goes first, then one that has had its last answer, then the one that
+        has been idle longest, whose next request takes a new connection."""
+        now = self.loop.time()
+        can_go = [c for c in self._connections if (c.idle or c.leaving) and now - c.since > FRESH_S]
+        if not can_go:
             return False
-        oldest = min(idle, key=lambda c: c.since)
+        oldest = min(can_go, key=lambda c: (not c.silent, not c.leaving, c.since))
         self.lost(oldest)
-        oldest.close()
+        oldest.close(at_once=oldest.leaving)
         return True
 
     def _sweep(self) -> None:
         self._sweep_timer = self.loop.call_later(SWEEP_S, self._sweep)
         now = self.loop.time()
+        crowded = len(self._connections) > CROWDED * self._share
+        idle_s = CROWDED_IDLE_S if crowded else IDLE_S
         for connection in list(self._connections):
-            if connection.stuck and now - connection.since > REQUEST_S:
-                connection.too_slow()
-            elif connection.idle and now - connection.since > IDLE_S:
+            if connection.too_slow(now):
+                connection.give_up()
+            elif connection.idle and now - connection.since > (idle_s if connection.served else SILENT_S):
                 connection.close()
