End spoilt answers at their head, as errors; let connections settle before reuse

Seen: a probe that logged each read tells spoilt from good: what the parser rejects, heads without end, doubled or absurd lengths. Bodies are arbitrary bytes and tell nothing; good answers with a second copy or noise behind have a length that fits their own part. No answer was short of what it said.

--- a/birchlead/net/node.py
+++ b/birchlead/net/node.py
@@ -164,7 +164,7 @@
         self._exchanges: dict[str, Exchange] = {}
         self._ended: dict[str, None] = {}  # ids of the latest requests that have ended
         self.classes = {cls.name: cls for cls in settings.classes}
-        self._addresses: dict[str, Address] = {}
+        self._addresses = pool.wanted
         self._serving: set[str] = set()
         self._events: deque[Event] = deque()
         self._busy = False
@@ -378,7 +378,7 @@
         payload = PROBE % f"{address[0]}:{address[1]}".encode()
         attempt = Attempt(name, sent)
         finish = partial(self._probe_ended, attempt)
-        attempt.job = self._pool.start(name, address, payload, finish, self._probe_within / 1e6)
+        attempt.job = self._pool.start(name, address, payload, finish, self._probe_within / 1e6, True)
         attempt.timer = self._at(sent + self._probe_within, partial(self._probe_timed_out, attempt))
 
     def _probe_timed_out(self, attempt: Attempt) -> None:
@@ -390,12 +390,15 @@
             attempt.timer.cancel()
         attempt.job = None
         load = result.load
-        if load is None and result.outcome is Outcome.OK:
+        outcome = result.outcome
+        if load is None and outcome is Outcome.OK:
             load = load_report(result.body.decode("latin-1"))
+            if load is None and result.body.strip():
+                outcome = Outcome.ERROR  # the module would take no word for 'idle'
         latency = self.clock.now() - attempt.sent
-        if result.outcome is not Outcome.OK:
-            log.debug("probe of %s: %s, %d us", attempt.upstream, result.outcome, latency)
-        self._post(ProbeEnded(attempt.upstream, result.outcome, latency, load))
+        if outcome is not Outcome.OK:
+            log.debug("probe of %s: %s, %d us", attempt.upstream, outcome, latency)
+        self._post(ProbeEnded(attempt.upstream, outcome, latency, load))
 
     def _release(self, action: Release) -> None:
         self._pool.release(action.upstream)
--- a/birchlead/net/upstream.py
+++ b/birchlead/net/upstream.py
@@ -18,8 +18,11 @@
 
 log = logging.getLogger(__name__)
 
-MAX_ANSWER = 1 << 20  # an answer beyond this is no answer of ours: bodies hold 64 KiB
-MAX_HEADERS = 32 << 10
+MAX_ANSWER = 64 << 10  # bodies hold no more
+MAX_HEAD = 16 << 10  # of an answer, with the interim ones before it
+MAX_RAW = 8 * MAX_ANSWER  # of an answer in small chunks, or with a trailer without end
+MAX_FIGURE = 1e6  # in a load report
+SETTLE_S = 0.005  # after an answer, before its connection is used again
 IDLE_SHARE = 0.8  # idle connections are closed after this share of the upstream's limit
 SWEEP_S = 1.0
 LOAD_FIELDS = {
@@ -52,8 +55,10 @@
             pairs = dict(pair.split("=", 1) for pair in text.split(",") if "=" in pair)
         for name, value in pairs.items():
             field = LOAD_FIELDS.get(name.strip())
-            if field is not None and math.isfinite(float(value)):
+            if field is not None:
                 figures[field] = float(value)
+                if not 0 <= figures[field] <= MAX_FIGURE:  # also where it is no number
+                    return None  # a report that says what cannot be is not to be believed in the rest
     except (ValueError, TypeError, RecursionError):
         return None  # a report that cannot be read is no report; the answer it came with stands
     return LoadReport(**figures) if figures else None
@@ -63,12 +68,17 @@
     return {name.lower(): value for name, value in pairs}
 
 
+class Spoilt(Exception):
+    """An answer that cannot be one of ours."""
+
+
 class Job:
     """One exchange with an upstream.  It ends exactly once, with `done`."""
 
-    __slots__ = ("_done", "connection", "dial", "ended", "payload")
+    __slots__ = ("_done", "connection", "dial", "ended", "payload", "probe")
 
-    def __init__(self, payload: bytes, done: Callable[[Result], None]) -> None:
+    def __init__(self, payload: bytes, done: Callable[[Result], None], probe: bool = False) -> None:
+        self.probe = probe
         self.payload = payload
         self._done = done
         self.ended = False
@@ -115,9 +125,10 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
-        self._size = 0
+        self._raw = self._size = 0
         self._finished: Result | None = None
-        self._surplus = self._keep_alive = self._in_body = False
+        self._surplus = self._keep_alive = self._in_body = self._head_done = False
+        self.settles = False  # whether more could follow its last answer
 
     # --- use
 
@@ -129,6 +140,9 @@
         """
         assert self._transport is not None
         self._job, job.connection, self.written = job, self, False
+        # Nothing that an earlier answer left half read may count for this request.
+        self._parser = httptools.HttpResponseParser(self)
+        self._raw, self._head_done = 0, False
         self._transport.write(job.payload)
         self.written = not self._transport.is_closing() and self._transport.get_write_buffer_size() == 0
 
@@ -175,14 +189,20 @@
             return
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._raw += len(data)  # the parser tells of a header when it is whole, and joins it till then
+            if self._raw > (MAX_RAW if self._head_done else MAX_HEAD):
+                raise Spoilt("no end to it")
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade, Spoilt) as error:
             if self._finished is None:
-                log.warning("upstream %s sent what is not HTTP: %s", self.name, error)
-                self._end_broken()
+                log.info("upstream %s sent what is no answer: %s", self.name, error.__context__ or error)
+                self._end_spoilt()
                 return
             self._surplus = True
         if self._finished is not None:
-            self._complete(self._finished)
+            if self._finished.outcome is Outcome.OK and not self.written:
+                self._end_spoilt()  # to what, then?  Not to a request that is not all there
+            else:
+                self._complete(self._finished)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.closing = True
@@ -201,20 +221,35 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._size += len(name) + len(value)
-        if self._size > MAX_HEADERS and not self._in_body:
-            raise ValueError("headers too large")
+        if self._size > MAX_HEAD:
+            raise Spoilt("headers too large")
         # A trailer must not say that a request was turned away whose answer has begun.
         if self._finished is None and not self._in_body:
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
+        """Judge an answer by its head.
+
+        Guards against waiting for, or reading, what can't be an answer: one of 3 GB, and one without a
+        length, whose end nothing would tell from a break.
+        """
         self._in_body = True
+        status = self._parser.get_status_code()
+        if status < 200 or self._finished is not None:
+            return
+        self._head_done, self._size = True, 0
+        headers = parse_headers(self._headers)
+        length, coding = headers.get(b"content-length"), headers.get(b"transfer-encoding")
+        if length is not None and int(length) > MAX_ANSWER:
+            raise Spoilt("answer too large")
+        if status == 200 and length is None and (coding or b"").strip().lower() != b"chunked":
+            raise Spoilt("an answer without a length")
 
     def on_body(self, data: bytes) -> None:
-        self._size += len(data)
-        if self._size > MAX_ANSWER:
-            raise ValueError("answer too large")
         if self._finished is None:
+            self._size += len(data)
+            if self._size > MAX_ANSWER:
+                raise Spoilt("answer too large")
             self._body.append(data)
 
     def on_message_complete(self) -> None:
@@ -238,6 +273,7 @@
     def _complete(self, result: Result) -> None:
         job, self._job, self._finished = self._job, None, None
         self._headers, self._body = [], []
+        self.settles = job is None or not job.probe
         if self.written and not self._surplus and self._keep_alive:
             self.pool.put_back(self)  # before `done`: what it starts may use this connection
         else:
@@ -245,11 +281,15 @@
         if job is not None:
             job.finish(result)
 
-    def _end_broken(self) -> None:
-        job = self._job
+    def _end_spoilt(self) -> None:
+        """The request may have run, but the upstream stands and its connection did too: an error of its own.
+
+        Spoilt answers come from any upstream alike.  As resets they would demote half of a fleet for seconds.
+        """
+        job, ran = self._job, self.written
         self.drop()
         if job is not None:
-            job.broken()
+            job.finish(Result(Outcome.ERROR if ran else Outcome.CONNECT_FAILED))
 
 
 class Pool:
@@ -268,6 +308,7 @@
         self._idle: dict[str, list[Connection]] = {}  # by upstream, the warmest last
         self._oldest: dict[Connection, None] = {}  # all idle ones, in the order in which they became so
         self._open: set[Connection] = set()
+        self.wanted: dict[str, Address] = {}  # upstreams that the list holds: only their connections are kept
         budget.on_short(self._evict)
         self._sweep_timer = loop.call_later(SWEEP_S, self._sweep)
 
@@ -278,13 +319,20 @@
         payload: bytes,
         done: Callable[[Result], None],
         connect_within_s: float = math.inf,
+        probe: bool = False,
     ) -> Job:
-        """Send on the warmest idle connection, else on a new one.  `done` never comes before this returns."""
-        job = Job(payload, done)
-        stack = self._idle.get(name)
-        while stack:
-            connection = stack.pop()
-            self._oldest.pop(connection, None)
+        """Send on the warmest idle connection, else on a new one.  `done` never comes before this returns.
+
+        Guards against bytes behind an answer that come a moment after it: on a connection that is used again
+        at once they would be read as the answer to the next request.  Probes' answers, small and made beside
+        the work, are held to settle at once.
+        """
+        job = Job(payload, done, probe)
+        settled = self._loop.time() - SETTLE_S
+        for connection in self._idle.get(name, [])[::-1]:
+            if connection.settles and connection.idle_since > settled:
+                continue
+            self._forget_idle(connection)
             if connection.address == address and connection.usable():
                 connection.start(job)
                 return job
@@ -294,6 +342,9 @@
         return job
 
     def put_back(self, connection: Connection) -> None:
+        if self.wanted.get(connection.name) != connection.address:
+            connection.drop()  # its upstream has left the list, or moved, while it was in use
+            return
         connection.idle_since = self._loop.time()
         self._idle.setdefault(connection.name, []).append(connection)
         self._oldest[connection] = None
@@ -353,9 +404,10 @@
     def _forget_idle(self, connection: Connection) -> None:
         if connection in self._oldest:
             del self._oldest[connection]
-            stack = self._idle.get(connection.name, [])
-            if connection in stack:
-                stack.remove(connection)
+            stack = self._idle[connection.name]
+            stack.remove(connection)
+            if not stack:
+                del self._idle[connection.name]  # names are ever new: an empty list for each would pile up
 
     def _evict(self) -> bool:
         oldest = next(iter(self._oldest), None)
