Let one bad row stop no other, meet discovery's silence after 3 s, bound tenants' shares

Seen on reading: read_list raised on any bad row, the watch ended and met the same row again; SILENCE_S 5 s left 1 s of the 6 s after which a change counts as told; brain.shares kept an entry for each tenant that callers name. A bad row's upstream now counts as gone, a bad line is made up for by the whole list. New tests fail before.

--- a/birchlead/brain.py
+++ b/birchlead/brain.py
@@ -352,11 +352,12 @@
             aim_by = min(answer_by, self.now + aim - spent - int(AIM_MARGIN * aim))
         answer_by = aim_by if cls.late_worth <= 0 and not cls.stream else answer_by
         quota, worth = self.quotas.get(event.tenant, 0.0), cls.worth
-        saved, then = self.shares.get(event.tenant, (SHARE_BURST, self.now))
-        saved = min(SHARE_BURST, saved + quota * (self.now - then))
-        if quota > 0 and saved < 1:  # beyond its share, as far as this copy's traffic tells
-            worth *= self.settings.over_share_worth
-        self.shares[event.tenant] = (max(0.0, saved - 1), self.now)
+        if quota > 0:  # only of tenants that the settings name: what callers name has no end
+            saved, then = self.shares.get(event.tenant, (SHARE_BURST, self.now))
+            saved = min(SHARE_BURST, saved + quota * (self.now - then))
+            if saved < 1:  # beyond its share, as far as this copy's traffic tells
+                worth *= self.settings.over_share_worth
+            self.shares[event.tenant] = (max(0.0, saved - 1), self.now)
         call = Call(event.request, cls, answer_by, aim_by, worth, max(1, event.work_hint or cls.aim))
         self.calls[call.id] = call
         self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
--- a/birchlead/net/discovery.py
+++ b/birchlead/net/discovery.py
@@ -17,7 +17,7 @@
 
 log = logging.getLogger(__name__)
 
-SILENCE_S = 5.0  # an empty line comes every 2 s: two and a half missed
+SILENCE_S = 3.0  # an empty line comes every 2 s; what it has to tell counts as told after 6 s, come what may
 CONNECT_S = 1.0
 FIRST_LINE_S = 6.0  # where calls are worked through in turn, the answer may wait
 WORKED_S = 1.0  # a watch that lasted this long worked: a new one is begun at once
@@ -32,12 +32,26 @@
     """A list that does not have discovery's form."""
 
 
+UNREADABLE = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
+
+
 def read_list(listed: Any) -> tuple[int, bool, Rows]:
-    """Version, whether it is the whole list, and its rows, out of discovery's JSON."""
+    """Version, whether it is the whole list, and its rows, out of discovery's JSON.
+
+    An upstream whose row cannot be read counts as gone until one can.  Guards against one bad row that would
+    keep all others from being told, again and again, as the watch would meet it each time that it is begun.
+    """
     try:
-        rows = [_row(row) for row in listed["endpoints"]]
-        return int(listed["index"]), bool(listed["snapshot"]), rows
-    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+        index, whole, rows = int(listed["index"]), bool(listed["snapshot"]), []
+        for row in listed["endpoints"]:
+            try:
+                rows.append(_row(row))
+            except UNREADABLE as error:
+                log.warning("discovery: a row that cannot be read: %.200r: %r", row, error)
+                if isinstance(row, dict) and isinstance(row.get("name"), str):
+                    rows.append((Endpoint(row["name"], state=Lifecycle.GONE), ("", 0)))
+        return index, whole, rows
+    except UNREADABLE as error:
         raise BadList(f"not a list of upstreams: {error!r}") from None
 
 
@@ -114,6 +128,7 @@
             try:
                 self._discovery.take(json.loads(line))
             except (ValueError, RecursionError) as error:
+                self._discovery.missed()
                 raise BadList(f"{error}") from None
             self.lines += 1
 
@@ -169,6 +184,10 @@
             self._stream.end("closed")
             self._stream = None
 
+    def missed(self) -> None:
+        """A line could not be read: what it had to tell comes with the whole list, asked for next."""
+        self._index = 0
+
     def take(self, listed: Any) -> None:
         index, whole, rows = read_list(listed)
         self._index = index
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -227,3 +227,12 @@
     for _ in range(500):
         world.ended(*world.sent(), OK)
     assert len(world.balancer.heap) <= 21
+
+
+def test_nothing_is_kept_of_tenants_that_the_settings_do_not_name():
+    """Callers may name ever new ones: an entry for each would fill the memory of a long day."""
+    world = World(rows(2), tenants=(api.Tenant("known", 1.0, 5.0),))
+    for number in range(100):
+        world.call(tenant=f"t{number}")
+    world.call(tenant="known")
+    assert set(world.balancer.shares) == {"known"}
