--- a/birchlead/net/upstream.py
+++ b/birchlead/net/upstream.py
@@ -18,9 +18,9 @@
 
 log = logging.getLogger(__name__)
 
-MAX_ANSWER = 64 << 10  # bodies hold no more
+MAX_ANSWER = 1 << 20  # bodies are said to hold 64 KiB, but good ones of more have been met
 MAX_HEAD = 16 << 10  # of an answer, with the interim ones before it
-MAX_RAW = 8 * MAX_ANSWER  # of an answer in small chunks, or with a trailer without end
+MAX_RAW = 2 * MAX_ANSWER  # of an answer in small chunks, or with a trailer without end
 MAX_FIGURE = 1e6  # in a load report
 SETTLE_S = 0.005  # after an answer, before its connection is used again
 IDLE_SHARE = 0.8  # idle connections are closed after this share of the upstream's limit
@@ -241,7 +241,7 @@
         headers = parse_headers(self._headers)
         length, coding = headers.get(b"content-length"), headers.get(b"transfer-encoding")
         if length is not None and int(length) > MAX_ANSWER:
-            raise Spoilt("answer too large")
+            raise Spoilt(f"answer too large: {int(length)}")
         if status == 200 and length is None and (coding or b"").strip().lower() != b"chunked":
             raise Spoilt("an answer without a length")
 
