--- a/birchlead/brain.py
+++ b/birchlead/brain.py
@@ -2,8 +2,7 @@
 
 An ordinary call goes to an upstream with none of this copy's own calls in flight, else to the one with
 fewest, the earliest assignment breaking ties; failed connections demote: `_order` and `_pick`.  `_may_send`
-is the gate of the four rules, `_end` ends a call.  docs/design.md says when each exception to the rule acts.
-"""
+is the gate of the four rules, `_end` ends a call.  docs/design.md says when each exception acts."""
 
 from __future__ import annotations
 
@@ -16,6 +15,7 @@
 from birchlead import interface as api
 
 MAX_FAILS = 2  # one failure may be chance; a second in a row is the upstream's own
+ABRUPT = 0.2  # of the mean answer time: an error this fast is a failure
 REST_CONNECTS = 20  # a rest lasts this many connect time-outs: a try at a dead upstream then costs little
 AIM_MARGIN = 0.01  # share of the aim kept for the way back to the client
 RETRY_SHARE = 0.2  # retries a call earns: a storm adds at most this much to the load
@@ -112,9 +112,8 @@
         affordable = int(PROBE_SPEND / max(settings.probe_price, PROBE_SPEND / PROBE_MOST))
         self.probe_most = affordable if settings.probes and affordable > 1 else 0  # one compares nothing
         self.top_worth = max([c.worth for c in settings.classes], default=1.0)
-        self.retries, self.best_time, self.queue_time = RETRY_BURST, 0.0, 0.0
+        self.retries, self.unconnected, self.best_time, self.queue_time = RETRY_BURST, 0.0, 0.0, 0.0
         self.uncut = settings.tier == 0 or not settings.passes_deadline  # deadlines are the client's
-        self.unconnected = 0.0  # share of lately ended attempts that got no connection
         self.idle: Upstream | None = None  # the last to answer, if few waited there
         self.word_lasts, self.word_waiting = (aim, 0) if self.probe_most else (settings.cold_time, 1)
         self.timers: dict[int, tuple[str, str]] = {}
@@ -181,10 +180,9 @@
             self._ask(call)
 
     def _lately_idle(self, call: Call) -> list[Upstream]:
-        """Exception among ties, where answers carry reports: stay with the upstream that answered last if
-        few waited there.  Copies that see a small part of the traffic so settle apart, and off what fails or
-        stalls.  Where it can ask, only a fresh word saves a probe; where it is blind, old word still beats
-        none.  It could harm where calls come in herds: each copy's own count then sends the rest elsewhere.
+        """Exception among ties, where answers carry reports: stay with the upstream that answered last if few
+        waited there.  Copies that see little of the traffic so settle apart, and off what fails or stalls.
+        Where it can ask, only a fresh word saves a probe; where it is blind, old word still beats none.
         """
         up, self.idle = self.idle, None
         if up is None or up.own or up.demoted or self.now - up.heard > self.word_lasts:
@@ -355,8 +353,7 @@
         if quota > 0:  # only of tenants that the settings name: what callers name has no end
             saved, then = self.shares.get(event.tenant, (SHARE_BURST, self.now))
             saved = min(SHARE_BURST, saved + quota * (self.now - then))
-            if saved < 1:  # beyond its share, as far as this copy's traffic tells
-                worth *= self.settings.over_share_worth
+            worth *= self.settings.over_share_worth if saved < 1 else 1.0  # as far as this copy can tell
             self.shares[event.tenant] = (max(0.0, saved - 1), self.now)
         call = Call(event.request, cls, answer_by, aim_by, worth, max(1, event.work_hint or cls.aim))
         self.calls[call.id] = call
@@ -387,7 +384,7 @@
             if event.load is not None:
                 up.heard = self.now
                 self.idle = up if round(event.load.waiting or 0.0) <= self.word_waiting else None
-        elif event.outcome in UNREACHED:
+        elif event.outcome in UNREACHED or self._abrupt(call, attempt):
             self._failed(up)
         self._order(up)
         if event.request_ended:
@@ -402,6 +399,11 @@
         if call.done and not call.live:
             self.calls.pop(call.id, None)
 
+    def _abrupt(self, call: Call, attempt: Attempt) -> bool:
+        """It had time enough; an upstream that errs at once looks idle and would draw every call."""
+        mean = self.mean_time.get(call.cls.name, 0.0) if attempt.outcome is api.Outcome.ERROR else 0.0
+        return self.now - attempt.sent < ABRUPT * mean < mean < call.answer_by - self.now
+
     def _failed(self, up: Upstream) -> None:
         """A failure demotes; MAX_FAILS in a row make it rest."""
         up.fails += 1
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -236,3 +236,22 @@
         world.call(tenant=f"t{number}")
     world.call(tenant="known")
     assert set(world.balancer.shares) == {"known"}
+
+
+def test_an_upstream_that_errs_at_once_rests_but_not_for_want_of_time():
+    """It looks idle and has no call in flight: it would draw every call, and lose it."""
+    world = World(rows(2), marks_retry=True)
+    for _ in range(4):
+        name, upstream = world.sent("buy")
+        world.now += 100_000
+        world.ended(name, upstream, OK)
+    for left in (50_000, 1_000_000):  # the first had too little time to tell
+        for _ in range(4):
+            name, upstream = world.sent("buy", left=left)
+            world.now += 2_000
+            world.ended(name, upstream, api.Outcome.ERROR if upstream == "u0" else OK)
+        assert world.balancer.upstreams["u0"].demoted is (left == 1_000_000)
+    for _ in range(4):
+        name, upstream = world.sent("buy")
+        assert upstream == "u1"
+        world.ended(name, upstream, OK)
