Take a connection lost while idle for what it is: no failure, and its idle time is learnt

Ruled out: old or wrong reports (probes' words agree with the true calls in flight within 2 ms), retries that ran dry (no call ended with one denied for that), descriptors, CPU. At fault: Connection.connection_lost and Job.broken (each loss a RESET), brain._on_attempt and _on_probe (each a failure, though another connection would have told). Now: losses within 20 ms on a kept connection are marked stale and demote nobody; a probe lost with its connection goes once more on a new one; half the idle time of a lost connection is trusted from then on, twice as much each 10 s.

--- a/birchlead/brain.py
+++ b/birchlead/brain.py
@@ -384,7 +384,7 @@
             if event.load is not None:
                 up.heard = self.now
                 self.idle = up if round(event.load.waiting or 0.0) <= self.word_waiting else None
-        elif event.outcome in UNREACHED or self._abrupt(call, attempt):
+        elif (event.outcome in UNREACHED and not event.stale) or self._abrupt(call, attempt):
             self._failed(up)
         self._order(up)
         if event.request_ended:
--- a/birchlead/interface.py
+++ b/birchlead/interface.py
@@ -165,6 +165,7 @@
     latency: int = 0
     request_ended: bool = False
     load: LoadReport | None = None
+    stale: bool = False  # lost with a connection that had stood idle: tells nothing of the upstream
 
 
 @dataclass(slots=True)
--- a/birchlead/net/node.py
+++ b/birchlead/net/node.py
@@ -318,7 +318,14 @@
                 "%s/%d to %s: %s, %d us", exchange.id, number, attempt.upstream, result.outcome, latency
             )
         ended = AttemptEnded(
-            exchange.id, number, attempt.upstream, result.outcome, latency, exchange.done, result.load
+            exchange.id,
+            number,
+            attempt.upstream,
+            result.outcome,
+            latency,
+            exchange.done,
+            result.load,
+            result.stale,
         )
         self._post(ended)
 
@@ -378,7 +385,7 @@
         payload = PROBE % f"{address[0]}:{address[1]}".encode()
         attempt = Attempt(name, sent)
         finish = partial(self._probe_ended, attempt)
-        attempt.job = self._pool.start(name, address, payload, finish, self._probe_within / 1e6, True)
+        attempt.job = self._pool.start(name, address, payload, finish, probe=True)
         attempt.timer = self._at(sent + self._probe_within, partial(self._probe_timed_out, attempt))
 
     def _probe_timed_out(self, attempt: Attempt) -> None:
--- a/birchlead/net/upstream.py
+++ b/birchlead/net/upstream.py
@@ -5,7 +5,6 @@
 import asyncio
 import json
 import logging
-import math
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -25,6 +24,9 @@
 SETTLE_S = 0.005  # after an answer, before its connection is used again
 IDLE_SHARE = 0.8  # idle connections are closed after this share of the upstream's limit
 SWEEP_S = 1.0
+STALE_S = 0.02  # a request on a connection that stood dead is lost within this time, else it is another loss
+TRUST_LEAST_S = 0.05  # however many are lost, connections that stood idle for less than this are used again
+TRUST_DOUBLES_S = 10.0  # the idle time that is trusted doubles in this time
 LOAD_FIELDS = {
     "inflight": "in_flight",
     "outstanding": "in_flight",
@@ -43,6 +45,7 @@
     body: bytes = b""
     content_type: bytes = b""
     load: LoadReport | None = None
+    stale: bool = False  # lost with a connection that had stood idle
 
 
 def load_report(text: str) -> LoadReport | None:
@@ -75,10 +78,11 @@
 class Job:
     """One exchange with an upstream.  It ends exactly once, with `done`."""
 
-    __slots__ = ("_done", "connection", "dial", "ended", "payload", "probe")
+    __slots__ = ("_done", "again", "connection", "dial", "ended", "payload", "probe")
 
     def __init__(self, payload: bytes, done: Callable[[Result], None], probe: bool = False) -> None:
         self.probe = probe
+        self.again = False  # sent a second time
         self.payload = payload
         self._done = done
         self.ended = False
@@ -95,8 +99,8 @@
             self.ended = True
             self._done(result)
 
-    def broken(self) -> None:
-        self.finish(Result(Outcome.RESET if self.written else Outcome.CONNECT_FAILED))
+    def broken(self, stale: bool = False) -> None:
+        self.finish(Result(Outcome.RESET if self.written else Outcome.CONNECT_FAILED, stale=stale))
 
     def give_up(self, outcome: Outcome) -> None:
         """Stop waiting.  The connection is closed: that is how an upstream is told."""
@@ -116,7 +120,7 @@
 
     def __init__(self, pool: Pool, name: str, address: Address, sock: socket.socket) -> None:
         self.pool, self.name, self.address = pool, name, address
-        self.idle_since = 0.0
+        self.idle_since = self.used_at = 0.0
         self.written = False
         self.closing = False
         self._sock = sock
@@ -139,6 +143,7 @@
         a rest it had to keep is out, so `written` never counts bytes that lie in the transport.
         """
         assert self._transport is not None
+        self.used_at = self.pool.now()
         self._job, job.connection, self.written = job, self, False
         # Nothing that an earlier answer left half read may count for this request.
         self._parser = httptools.HttpResponseParser(self)
@@ -208,8 +213,16 @@
         self.closing = True
         job, self._job = self._job, None
         self.pool.lost(self)
-        if job is not None:
-            job.broken()
+        if job is None:
+            return
+        stale = self.idle_since > 0 and not self._raw and self.pool.now() - self.used_at < STALE_S
+        if stale:
+            self.pool.distrust(self.used_at - self.idle_since)
+        if job.probe and not self._raw and not job.again:
+            job.again = True
+            self.pool.dial(job, self.name, self.address)
+        else:
+            job.broken(stale)
 
     # --- httptools
 
@@ -305,6 +318,7 @@
         self._loop, self._budget = loop, budget
         self._connect_timeout_s = connect_timeout_s
         self._idle_limit_s = idle_close_s * IDLE_SHARE
+        self._trust_s, self._trust_at = self._idle_limit_s, 0.0  # as of a time
         self._idle: dict[str, list[Connection]] = {}  # by upstream, the warmest last
         self._oldest: dict[Connection, None] = {}  # all idle ones, in the order in which they became so
         self._open: set[Connection] = set()
@@ -318,7 +332,6 @@
         address: Address,
         payload: bytes,
         done: Callable[[Result], None],
-        connect_within_s: float = math.inf,
         probe: bool = False,
     ) -> Job:
         """Send on the warmest idle connection, else on a new one.  `done` never comes before this returns.
@@ -328,24 +341,50 @@
         the work, are held to settle at once.
         """
         job = Job(payload, done, probe)
-        settled = self._loop.time() - SETTLE_S
+        settled, trusted = self.now() - SETTLE_S, self.now() - self._trusted()
         for connection in self._idle.get(name, [])[::-1]:
             if connection.settles and connection.idle_since > settled:
                 continue
             self._forget_idle(connection)
-            if connection.address == address and connection.usable():
+            if connection.address == address and connection.idle_since > trusted and connection.usable():
                 connection.start(job)
                 return job
             connection.drop()
-        within = min(self._connect_timeout_s, connect_within_s)
-        job.dial = self._loop.create_task(self._dial(job, name, address, within))
+        self.dial(job, name, address)
         return job
 
+    def dial(self, job: Job, name: str, address: Address) -> None:
+        """Send on a new connection.
+
+        Also a probe, once, that was lost with its connection: word of a dead upstream should not rest on
+        one connection, and a probe runs nothing twice.  An upstream that is down refuses the second at once.
+        """
+        job.connection = None
+        job.dial = self._loop.create_task(self._dial(job, name, address, self._connect_timeout_s))
+
+    def now(self) -> float:
+        return self._loop.time()
+
+    def distrust(self, idle_s: float) -> None:
+        """A connection that had stood idle this long was dead, and nothing had told so.
+
+        Guards against what drops idle connections unseen (an upstream's own shorter limit, a middlebox that
+        forgets flows): each loss may be of a request that cannot be sent again.  Half the time is trusted
+        from then on, and twice as much after each TRUST_DOUBLES_S.  The harm: where the losses have other
+        causes, more requests pay for a new connection, for some ten seconds from the last loss.
+        """
+        self._trust_s = max(TRUST_LEAST_S, min(self._trusted(), idle_s / 2))
+        self._trust_at = self.now()
+
+    def _trusted(self) -> float:
+        doublings = min(60.0, (self.now() - self._trust_at) / TRUST_DOUBLES_S)
+        return min(self._idle_limit_s, self._trust_s * 2**doublings)
+
     def put_back(self, connection: Connection) -> None:
         if self.wanted.get(connection.name) != connection.address:
             connection.drop()  # its upstream has left the list, or moved, while it was in use
             return
-        connection.idle_since = self._loop.time()
+        connection.idle_since = self.now()
         self._idle.setdefault(connection.name, []).append(connection)
         self._oldest[connection] = None
 
@@ -421,7 +460,7 @@
     def _sweep(self) -> None:
         """Close idle connections before the upstream may: a request that crosses its close is a reset."""
         self._sweep_timer = self._loop.call_later(SWEEP_S, self._sweep)
-        too_old = self._loop.time() - self._idle_limit_s + SWEEP_S
+        too_old = self.now() - min(self._idle_limit_s - SWEEP_S, self._trusted())
         for connection in list(self._oldest):
             if connection.idle_since > too_old:
                 break
--- a/tests/net/test_attempts.py
+++ b/tests/net/test_attempts.py
@@ -429,6 +429,149 @@
     run(main())
 
 
+async def resets(_: object, writer: asyncio.StreamWriter) -> None:
+    reset(writer)
+
+
+class DeadAfterIdle:
+    """An upstream whose connections are lost unseen while idle: a second request on one meets a reset.
+
+    It answers 1 to a probe, and `done` to a request.
+    """
+
+    def __init__(self) -> None:
+        self.used: set[asyncio.StreamWriter] = set()
+
+    async def __call__(
+        self, message: tuple[str, dict[str, str], bytes], writer: asyncio.StreamWriter
+    ) -> None:
+        if writer in self.used:
+            reset(writer)
+        else:
+            self.used.add(writer)
+            writer.write(answer(200, b"inflight=1" if "/status/load" in message[0] else b"done"))
+
+
+def test_a_probe_lost_with_an_idle_connection_goes_on_a_new_one() -> None:
+    """It would say that an upstream is down of which only a connection was."""
+
+    async def main() -> None:
+        peer = await Peer(DeadAfterIdle()).start()
+        module = Module(
+            lambda event: [] if isinstance(event, api.ProbeEnded) else [api.Probe("u0")],
+        )
+        bench = Bench(module)
+        for connections in (1, 2):
+            bench.list(peer.port)
+            ended = await module.next(api.ProbeEnded)
+            assert (ended.outcome, ended.load) == (Outcome.OK, api.LoadReport(1.0))
+            assert peer.connections == connections
+        peer.script = silent
+        peer.server.close()
+        reset(peer.writers[-1])
+        await peer.server.wait_closed()
+        bench.list(peer.port)
+        assert (await module.next(api.ProbeEnded)).outcome in (Outcome.CONNECT_FAILED, Outcome.RESET)
+
+    run(main())
+
+
+@pytest.mark.parametrize(("lost", "outcome"), [(1, Outcome.OK), (2, Outcome.RESET)])
+def test_a_probe_is_sent_a_second_time_and_no_more(lost: int, outcome: Outcome) -> None:
+    async def main() -> None:
+        async def script(message: tuple[str, dict[str, str], bytes], writer: asyncio.StreamWriter) -> None:
+            if len(peer.requests) <= lost:
+                reset(writer)
+            else:
+                writer.write(answer(200, b"inflight=1"))
+
+        peer = await Peer(script).start()
+        module = Module(lambda event: [api.Probe("u0")] if isinstance(event, api.UpstreamList) else [])
+        bench = Bench(module)
+        bench.list(peer.port)
+        assert (await module.next(api.ProbeEnded)).outcome is outcome
+        assert len(peer.requests) == 2
+
+    run(main())
+
+
+def test_a_connection_lost_while_idle_is_no_failure_of_its_upstream(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Two failures would make it rest, and its calls wait in vain: it is the only one."""
+    monkeypatch.setattr(upstream_module, "SETTLE_S", 0.0)
+    monkeypatch.setattr(upstream_module, "TRUST_LEAST_S", 1e9)  # or no connection would be used again
+
+    async def main() -> None:
+        peer = await Peer(DeadAfterIdle()).start()
+        bench = Bench(settings=settings(max_attempts=1))
+        bench.list(peer.port)
+        caller = await bench.caller()
+        statuses = [(await caller.ask(f"a{number}", "buy"))[0] for number in range(7)]
+        assert statuses == [200, 502, 200, 502, 200, 502, 200]
+
+    run(main())
+
+
+@pytest.mark.parametrize("fresh", [True, False])
+def test_only_a_loss_at_once_on_a_kept_connection_is_stale(
+    fresh: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(upstream_module, "SETTLE_S", 0.0)
+    monkeypatch.setattr(upstream_module, "STALE_S", 1e9 if fresh else 0.0)
+
+    async def main() -> None:
+        peer = await Peer(DeadAfterIdle()).start()
+        module = send_once()
+        bench = Bench(module)
+        bench.list(peer.port)
+        caller = await bench.caller()
+        if fresh:
+            peer.script = resets
+        else:
+            await caller.ask("a0")
+            await module.next(api.AttemptEnded)
+        await caller.ask("a1")
+        ended = await module.next(api.AttemptEnded)
+        assert (ended.outcome, ended.stale) == (Outcome.RESET, False)
+
+    run(main())
+
+
+def test_idle_times_at_which_connections_were_lost_are_trusted_again_slowly(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What may not run twice is lost with each such connection, so the next ones go on new ones."""
+    times = [1000.0]
+    monkeypatch.setattr(upstream_module.Pool, "now", lambda self: times[0])
+
+    async def main() -> None:
+        dead = DeadAfterIdle()
+        peer = await Peer(dead).start()
+        module = send_once()
+        bench = Bench(module)
+        bench.list(peer.port)
+        caller = await bench.caller()
+
+        async def ask(name: str, after: float) -> tuple[int, int]:
+            times[0] += after
+            status = (await caller.ask(name, "buy"))[0]
+            return status, peer.connections
+
+        assert await ask("a0", 0.0) == (200, 1)
+        assert await ask("a1", 4.0) == (502, 1)  # lost: half of 4 s is trusted from here on
+        assert (await module.next(api.AttemptEnded)).stale is False
+        assert (await module.next(api.AttemptEnded)).stale is True
+        assert await ask("a2", 0.0) == (200, 2)
+        assert await ask("a3", 2.8) == (200, 3)
+        dead.used.clear()
+        assert await ask("a4", 1.5) == (200, 3)
+        dead.used.clear()
+        assert await ask("a5", 20.0) == (200, 4)
+        dead.used.clear()
+        assert await ask("a6", 5.0) == (200, 4)  # 2 s have doubled twice and more
+
+    run(main())
+
+
 def test_bytes_that_nobody_asked_for_end_the_connection_only() -> None:
     async def main() -> None:
         peer = await Peer(replies(answer() + answer(200, b"extra"))).start()
