--- a/birchlead/brain.py
+++ b/birchlead/brain.py
@@ -34,9 +34,12 @@
 SQUEEZED = 0.05  # of lately ended attempts got no connection: the next few calls keep to open ones
 NO_HOPE = 0.5  # inner tiers: with less of the mean answer time than this left, few calls are answered
 RECHECK = 0.02  # calls that are held are looked at again after this share of the shortest aim
-HELD = 1.0  # of the mean answer time: an attempt out for longer is asked after
-NONE_HELD = 0.5  # a count in flight under this is none: reports are a little noisy
-MISSED = 2  # words in a row that an upstream holds nothing: what is out there will not be answered
+ASK_SOON, ASK_LATE = 1.0, 2.5  # of the mean answer time: an attempt out for longer is asked after
+SILENT, FORGET = (
+    0.1,
+    0.02,
+)  # soon, while the memory of the last lost one, this much less at each end, is above
+NONE_HELD, MISSED = 0.5, 2  # this many counts in flight in a row under this: what is out will not be answered
 ASK_BACKOFF = 0.05  # first wait before asking for the list, as a share of the time allowed between asks
 
 NEVER_RAN = (api.Outcome.REJECTED, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
@@ -117,7 +120,8 @@
         affordable = int(PROBE_SPEND / max(settings.probe_price, PROBE_SPEND / PROBE_MOST))
         self.probe_most = affordable if settings.probes and affordable > 1 else 0  # one compares nothing
         self.top_worth = max([c.worth for c in settings.classes], default=1.0)
-        self.retries, self.unconnected, self.best_time, self.queue_time = RETRY_BURST, 0.0, 0.0, 0.0
+        self.retries, self.unconnected, self.silent = RETRY_BURST, 0.0, 0.0
+        self.best_time = self.queue_time = 0.0
         self.uncut = settings.tier == 0 or not settings.passes_deadline  # deadlines are the client's
         self.idle: Upstream | None = None  # the last to answer, if few waited there
         self.word_lasts, self.word_waiting = (aim, 0) if self.probe_most else (settings.cold_time, 1)
@@ -235,14 +239,13 @@
         self._release(event.upstream, up)
         if up is None:
             return
-        askers, up.askers = up.askers, []
+        askers, up.askers, doubts, up.doubts = up.askers, [], up.doubts, []
         if event.outcome is api.Outcome.OK:
             said, up.heard = event.load or api.LoadReport(), self.now
             some = (said.waiting or 0.0) + (said.utilization or 0.0)
             up.load = some if said.in_flight is None else said.in_flight
         elif event.outcome in UNREACHED or event.outcome is api.Outcome.TIMEOUT:
             self._failed(up)
-        doubts, up.doubts = up.doubts, []
         for call, attempt in doubts:
             self._judge(call, attempt, event.load)
         for call in askers:
@@ -262,28 +265,32 @@
         Its count in flight says whether it holds anything at all.  Guards against what goes silent: a request
         never taken up, a lost answer, a flow that a box in between forgot.  It would wait until its deadline.
         """
-        attempt = call.attempts[-1]
-        up, again = attempt.upstream, call.cls.idempotency is not api.Idempotency.UNSAFE
+        attempt, again = call.attempts[-1], call.cls.idempotency is not api.Idempotency.UNSAFE
+        up = attempt.upstream
         if attempt.outcome is None and again and up.serving and self.probe_most and self.settings.cancel:
             if not up.askers and not up.doubts:
                 self.actions.append(api.Probe(up.id))
             up.doubts.append((call, attempt))
 
+    def _patience(self, call: Call) -> int:
+        """How long an attempt may be out: short once one was lost, as asking has its price."""
+        part = ASK_SOON if self.silent > SILENT else ASK_LATE
+        return int(part * self.mean_time.get(call.cls.name, 0.0))
+
     def _judge(self, call: Call, attempt: Attempt, said: api.LoadReport | None) -> None:
         """Give up what is not there, to send it again.
 
-        Harm: where reports lag by more than HELD, what still runs is sent twice; retries' ration bounds that.
+        Harm: where reports lag by more than that, what still runs is sent twice; retries' ration bounds that.
         """
         if attempt.outcome is not None or call.done:
             return
         missing = said is not None and said.in_flight is not None and said.in_flight < NONE_HELD
         attempt.missed = attempt.missed + 1 if missing else 0
         if attempt.missed < MISSED:
-            mean = self.mean_time.get(call.cls.name, 0.0)
-            self._timer(self.recheck if missing else int(HELD * mean), "doubt", call.id)
+            self._timer(self.recheck if missing else self._patience(call), "doubt", call.id)
         elif self.retries >= 1:
-            attempt.upstream.demoted = True
-            self._timer(REST_CONNECTS * self.settings.connect_timeout, "return", attempt.upstream.id)
+            self.silent = 1.0
+            self._failed(attempt.upstream, 0)
             self.actions.append(api.CancelAttempt(call.id, call.attempts.index(attempt)))
 
     def _part(self, call: Call) -> float:
@@ -353,7 +360,7 @@
         self._pace_cold(up, 0.5, 1.5)
         self._order(up)
         if call.cls.name in self.mean_time:
-            self._timer(int(HELD * self.mean_time[call.cls.name]), "doubt", call.id)
+            self._timer(self._patience(call), "doubt", call.id)
         self.actions.append(api.Send(call.id, up.id, call.answer_by))
 
     def _pace_cold(self, up: Upstream, low: float, high: float) -> None:
@@ -418,6 +425,7 @@
         elif event.outcome in (api.Outcome.OK, api.Outcome.ERROR):
             up.linked = self.now
         self._release(up.id, up)
+        self.silent *= 1 - FORGET
         self._learn_time(call, attempt)
         if event.outcome is api.Outcome.OK:
             up.fails, up.demoted = 0, False
@@ -444,9 +452,9 @@
         mean = self.mean_time.get(call.cls.name, 0.0) if attempt.outcome is api.Outcome.ERROR else 0.0
         return self.now - attempt.sent < ABRUPT * mean < mean < call.answer_by - self.now
 
-    def _failed(self, up: Upstream) -> None:
+    def _failed(self, up: Upstream, counts: int = 1) -> None:
         """A failure demotes; MAX_FAILS in a row make it rest."""
-        up.fails += 1
+        up.fails += counts
         up.demoted = True
         rest = REST_CONNECTS * self.settings.connect_timeout
         if up.fails >= MAX_FAILS:
