--- a/birchlead/brain.py
+++ b/birchlead/brain.py
@@ -35,10 +35,7 @@
 NO_HOPE = 0.5  # inner tiers: with less of the mean answer time than this left, few calls are answered
 RECHECK = 0.02  # calls that are held are looked at again after this share of the shortest aim
 ASK_SOON, ASK_LATE = 1.0, 2.5  # of the mean answer time: an attempt out for longer is asked after
-SILENT, FORGET = (
-    0.1,
-    0.02,
-)  # soon, while the memory of the last lost one, this much less at each end, is above
+SILENT, FORGET = 0.1, 0.005  # soon, while the memory of the last one lost, less by this at each end, is more
 NONE_HELD, MISSED = 0.5, 2  # this many counts in flight in a row under this: what is out will not be answered
 ASK_BACKOFF = 0.05  # first wait before asking for the list, as a share of the time allowed between asks
 
