Let fronts choose a pool, and a node end for good: seams for routes and pools

Routes and pools put several nodes where one stood. The server and the fronts now ask a Core for what they need of it; a message carries what its front's router chose; a path without a front of its own may go to a common one. PartBudget bounds one user of sockets within the common budget.

--- a/brackengate/brain.py
+++ b/brackengate/brain.py
@@ -118,7 +118,7 @@
         affordable = int(PROBE_SPEND / max(settings.probe_price, PROBE_SPEND / PROBE_MOST))
         self.probe_most = affordable if settings.probes and affordable > 1 else 0  # one compares nothing
         self.top_worth = max([c.worth for c in settings.classes], default=1.0)
-        self.retries, self.unconnected, self.silent = RETRY_BURST, 0.0, 0.0
+        self.retries, self.unconnected, self.silent, self.closing = RETRY_BURST, 0.0, 0.0, False
         self.best_time = self.queue_time = 0.0
         self.uncut = settings.tier == 0 or not settings.passes_deadline  # deadlines are the client's
         self.idle: Upstream | None = None  # the last to answer, if few waited there
@@ -198,7 +198,7 @@
 
     def _hold(self, call: Call) -> None:
         """Keep a call that is not out anywhere; it ends here in time, not at the look after that."""
-        if self.now + self.recheck >= call.answer_by:
+        if self.closing or self.now + self.recheck >= call.answer_by:
             return self._end_unserved(call)
         self.waiting[call.id] = call
         if call.look <= self.now:  # one timer at a time: if each look set two, they would double without end
@@ -493,6 +493,7 @@
             self.calls.pop(call.id, None)
 
     def _on_list(self, event: api.UpstreamList) -> None:
+        self.closing = event.last
         self.asks_failed = self.asks_failed + 1 if event.kind is api.ListKind.BROKEN else 0
         if event.kind in (api.ListKind.BROKEN, api.ListKind.CACHED) and self.settings.list_on_request:
             wait = self.settings.ask_within * min(0.5, ASK_BACKOFF * 2 ** min(self.asks_failed, 10))
@@ -506,7 +507,7 @@
         for row in rows:
             self._learn(row)
         self.sizes = sum(up.size for up in self.upstreams.values())
-        for call in [call for call in self.waiting.values() if not call.asked]:
+        for call in [call for call in self.waiting.values() if self.closing or not call.asked]:
             self._place(call)
 
     def _learn(self, row: api.Endpoint) -> None:
--- a/brackengate/graphql/front.py
+++ b/brackengate/graphql/front.py
@@ -17,9 +17,9 @@
 from brackengate.graphql.negotiate import Form, check_content_type, form_of
 from brackengate.graphql.persisted import Store
 from brackengate.interface import Idempotency, Request
-from brackengate.net.api import ID, MILLISECONDS, NOT_FORWARDED, ClientOf, OriginOf
-from brackengate.net.http import Arrival, CallerConnection, Door
-from brackengate.net.node import Message, Node, Reply
+from brackengate.net.api import ID, MILLISECONDS, NOT_FORWARDED, ClientOf, OriginOf, RouteOf
+from brackengate.net.http import Arrival, CallerConnection, Core, Door
+from brackengate.net.node import Message, Reply
 
 KEY = re.compile(rb"[!-~ ]{1,256}")
 OWN = NOT_FORWARDED | {
@@ -83,15 +83,17 @@
 
     def __init__(
         self,
-        node: Node,
+        node: Core,
         door: Door,
         classifier: Classifier,
         store: Store | None,
         options: Options,
         client_of: ClientOf | None = None,
         origin_of: OriginOf | None = None,
+        route_of: RouteOf | None = None,
     ) -> None:
         self._node, self._door, self._client_of, self._origin_of = node, door, client_of, origin_of
+        self._route_of = route_of
         self._classifier, self._store, self._options = classifier, store, options
         self.counters: Counter[str] = Counter()
 
@@ -152,12 +154,14 @@
             body = self._body(arrival, envelope, items)
             call = self._call(arrival, headers, tenant, client, items[0].verdict, body)
             call[1].origin = origin
+            self._route(arrival, connection, call, items[0])
             connection.submit(*call, _Single(connection, form))
         elif self._options.batch == "whole":
             verdict = self._strictest(items)
             body = self._body(arrival, envelope, items)
             call = self._call(arrival, headers, tenant, client, verdict, body)
             call[1].origin, call[1].parts = origin, len(items)
+            self._route(arrival, connection, call, None, verdict.type)
             connection.submit(*call, _Single(connection, form, whole=True))
         else:
             calls = [
@@ -166,11 +170,31 @@
                 )
                 for item in items
             ]
-            for _, message in calls:
-                message.origin = origin
+            for call, item in zip(calls, items, strict=True):
+                call[1].origin = origin
+                self._route(arrival, connection, call, item)
             mutations = [item.verdict.type == "mutation" for item in items]
             _Split(connection, form, self._door, calls, mutations).start()
 
+    def _route(
+        self,
+        arrival: Arrival,
+        connection: CallerConnection,
+        call: tuple[Request, Message],
+        item: Item | None,
+        kind: str = "",
+    ) -> None:
+        """Its pool, where there are routes.  A batch that goes as one has a type and no name."""
+        if self._route_of is not None:
+            name = ""
+            if item is not None:
+                name = item.params.operation_name or ""
+                operations = () if name else self._classifier.analyse(item.text).operations
+                if len(operations) == 1:
+                    name = operations[0].name
+            kind = item.verdict.type if item is not None else kind
+            call[1].route = self._route_of(arrival, connection, call[0], name, kind)
+
     def _tell(self, params: Params, tenant: str, header_key: str) -> Item:
         sha256 = params.sha256
         if sha256 is not None:
--- a/brackengate/graphql/setup.py
+++ b/brackengate/graphql/setup.py
@@ -11,9 +11,8 @@
 from brackengate.installation import settings as derived
 from brackengate.installation.reading import BadFile, Fault
 from brackengate.installation.schema import File, GraphqlField
-from brackengate.net.api import ClientOf, OriginOf
-from brackengate.net.http import Door
-from brackengate.net.node import Node
+from brackengate.net.api import ClientOf, OriginOf, RouteOf
+from brackengate.net.http import Core, Door
 
 
 def classifier(file: File) -> Classifier:
@@ -56,10 +55,11 @@
 
 def front(
     file: File,
-    node: Node,
+    node: Core,
     door: Door,
     client_of: ClientOf | None = None,
     origin_of: OriginOf | None = None,
+    route_of: RouteOf | None = None,
 ) -> GraphqlFront:
     told = file.graphql
     options = Options(
@@ -69,4 +69,4 @@
         deadline_header=told.deadline_header.lower().encode(),
         field_work=int(told.field_work),
     )
-    return GraphqlFront(node, door, classifier(file), store(file), options, client_of, origin_of)
+    return GraphqlFront(node, door, classifier(file), store(file), options, client_of, origin_of, route_of)
--- a/brackengate/interface.py
+++ b/brackengate/interface.py
@@ -134,6 +134,7 @@
     kind: ListKind
     endpoints: tuple[Endpoint, ...] = ()
     version: int = 0
+    last: bool = False  # no upstream will come any more: what waits for one is ended
 
 
 @dataclass(frozen=True, slots=True)
--- a/brackengate/net/api.py
+++ b/brackengate/net/api.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 
 from brackengate.interface import Idempotency, Request
-from brackengate.net.http import Arrival, Bad, CallerConnection
-from brackengate.net.node import Message, Node, Origin
+from brackengate.net.http import Arrival, Bad, CallerConnection, Core
+from brackengate.net.node import Message, Origin
 
 API, READY = b"/api", b"/ready"
 ID = re.compile(rb"[0-9A-Za-z._~-]{1,64}")
@@ -30,6 +30,8 @@
 
 ClientOf = Callable[[Arrival, CallerConnection], str | None]
 OriginOf = Callable[[Arrival, CallerConnection], Origin]
+RouteOf = Callable[[Arrival, CallerConnection, Request, str, str], object]
+"""Which pool a request goes to, by its operation's name and type too; `Bad` with 404 where no route fits."""
 
 
 class Ready:
@@ -49,11 +51,16 @@
     """Requests whose headers say their class, key and time."""
 
     def __init__(
-        self, node: Node, client_of: ClientOf | None = None, origin_of: OriginOf | None = None
+        self,
+        node: Core,
+        client_of: ClientOf | None = None,
+        origin_of: OriginOf | None = None,
+        route_of: RouteOf | None = None,
     ) -> None:
         """`client_of`: who sent a request, where somebody asks; None where that can't be told.  `origin_of`:
-        the same, and whence."""
+        the same, and whence.  `route_of`: where there are routes."""
         self._node, self._client_of, self._origin_of = node, client_of, origin_of
+        self._route_of = route_of
 
     def begin(self, arrival: Arrival, connection: CallerConnection) -> None:
         if arrival.method not in (b"GET", b"POST"):
@@ -63,6 +70,8 @@
             message.client = self._client_of(arrival, connection)
         if self._origin_of is not None:
             message.origin = self._origin_of(arrival, connection)
+        if self._route_of is not None:
+            message.route = self._route_of(arrival, connection, request, "", "")
         connection.submit(request, message)
 
     def _read(self, arrival: Arrival) -> tuple[Request, Message]:
--- a/brackengate/net/discovery.py
+++ b/brackengate/net/discovery.py
@@ -7,12 +7,13 @@
 import logging
 import math
 import random
-from typing import Any, cast
+from collections.abc import Iterable
+from typing import Any, Protocol, cast
 
 import httptools
 
 from brackengate.interface import Endpoint, Lifecycle, ListKind
-from brackengate.net.node import Node
+from brackengate.net.node import Clock
 from brackengate.net.sockets import Address, parse_address
 
 log = logging.getLogger(__name__)
@@ -143,6 +144,14 @@
         self.end("ended")
 
 
+class Listed(Protocol):
+    """Whoever takes a list: a node, or what keeps the lists of several."""
+
+    clock: Clock
+
+    def listed(self, kind: ListKind, rows: Iterable[tuple[Endpoint, Address]], version: int = 0) -> None: ...
+
+
 class Discovery:
     """Keeps the watch.
 
@@ -150,7 +159,7 @@
     in force meanwhile.  Where discovery is asked, the module says when, and hears of each failure.
     """
 
-    def __init__(self, node: Node, address: Address, on_request: bool, rng: random.Random) -> None:
+    def __init__(self, node: Listed, address: Address, on_request: bool, rng: random.Random) -> None:
         self._node, self._address, self._on_request, self._rng = node, address, on_request, rng
         self._index = 0
         self._watching = False  # also between two watches, while the next is awaited
--- a/brackengate/net/http.py
+++ b/brackengate/net/http.py
@@ -12,7 +12,7 @@
 import httptools
 
 from brackengate.interface import Request, RequestClass
-from brackengate.net.node import Caller, Clock, Message, Node, Reply
+from brackengate.net.node import Caller, Clock, Message, Reply
 from brackengate.net.observer import FlowCounter, FlowWatch
 
 MAX_BODY = 64 << 10
@@ -21,6 +21,7 @@
 LINGER_S = 0.7  # for the caller to read an answer that came before its request's end
 DRAIN_ANSWER_S = 2.0  # for a caller to take an answer
 PIECE = 16 << 10  # what the parser is given at once
+ANY = b"*"  # the front of every path that has none of its own
 AT_ONCE = 8  # requests of one caller that are begun in one turn of the loop
 
 ONCE = (b"x-txn", b"x-lane", b"x-remaining-ms", b"idempotency-key", b"content-length", b"transfer-encoding")
@@ -102,11 +103,21 @@
         """Whether an attempt of it has been sent."""
 
 
+class Core(Inner, Protocol):
+    """What stands behind all stages: one node, or one for each pool."""
+
+    def can_serve(self) -> bool:
+        """Whether an upstream is known that serves."""
+
+    def known(self, request: str) -> bool:
+        """Whether the id is in flight, or was of late."""
+
+
 class Host(Protocol):
     """The server, as its connections see it."""
 
     loop: asyncio.AbstractEventLoop
-    node: Node
+    node: Core
     door: Door
     fronts: Mapping[bytes, Front]
     draining: bool
@@ -374,7 +385,8 @@
         self._loop.call_soon(self._next)
 
     def _begin(self, arrival: Arrival) -> None:
-        front = self._server.fronts.get(arrival.target.partition(b"?")[0])
+        fronts = self._server.fronts
+        front = fronts.get(arrival.target.partition(b"?")[0]) or fronts.get(ANY)
         if front is None:
             raise Bad(404, "path")
         front.begin(arrival, self)
--- a/brackengate/net/node.py
+++ b/brackengate/net/node.py
@@ -147,6 +147,7 @@
     client: str | None = None  # who sent it, where that is declared
     origin: Origin | None = None
     parts: int = 1  # operations in it
+    route: object = None  # what its front's router chose, where there is one
 
     def payload(self, remaining_ms: int) -> bytes:
         return b"%sX-Remaining-Ms: %d\r\n\r\n%s" % (self.head, remaining_ms, self.body)
@@ -229,6 +230,10 @@
         """Requests that still await their answer."""
         return sum(1 for exchange in self._exchanges.values() if not exchange.done)
 
+    def out(self) -> int:
+        """Requests that still have something of them here: an answer to come, or an attempt that runs."""
+        return len(self._exchanges)
+
     def in_flight(self, request: str) -> bool:
         return request in self._exchanges
 
@@ -282,6 +287,15 @@
         if self.observer is not None and bool(self._serving) is not served:
             self.observer.serving(not served)
 
+    def retire(self) -> None:
+        """No upstream any more, and none to come.
+
+        What waits gets its answer now, what is out when its attempt ends; the module says which.
+        """
+        for name in list(self._addresses):
+            self._drop(name)
+        self._post(UpstreamList(ListKind.FULL, last=True))
+
     def _drop(self, name: str) -> None:
         self._addresses.pop(name, None)
         self._rows.pop(name, None)
--- a/brackengate/net/server.py
+++ b/brackengate/net/server.py
@@ -10,8 +10,7 @@
 
 from brackengate.net.api import API, READY, Api, Ready
 from brackengate.net.crowd import Crowd
-from brackengate.net.http import Bad, CallerConnection, Door, Front
-from brackengate.net.node import Node
+from brackengate.net.http import Bad, CallerConnection, Core, Door, Front
 from brackengate.net.observer import FlowWatch
 from brackengate.net.sockets import SocketBudget
 
@@ -37,7 +36,7 @@
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        node: Node,
+        node: Core,
         budget: SocketBudget,
         sockets: Sequence[socket.socket],
         room: int = 1 << 20,
--- a/brackengate/net/sockets.py
+++ b/brackengate/net/sockets.py
@@ -56,6 +56,9 @@
         """Register a way to close one idle socket; those registered first are asked first."""
         self._evictors.append(evict)
 
+    def forget(self, evict: Callable[[], bool]) -> None:
+        self._evictors.remove(evict)
+
     def claim(self) -> bool:
         """Take a place for one socket, if need be that of an idle one."""
         if self.taken >= self.limit and not any(evict() for evict in self._evictors):
@@ -65,3 +68,38 @@
 
     def free(self) -> None:
         self.taken -= 1
+
+
+class PartBudget(SocketBudget):
+    """A bound of its own within another budget: one user of sockets can't take all of them.
+
+    Only its own idle sockets make room for it at its own bound.
+    """
+
+    def __init__(self, whole: SocketBudget, limit: int) -> None:
+        super().__init__(limit)
+        self._whole = whole
+        self.whole_limit = whole.limit
+        self.refused = 0
+
+    def on_short(self, evict: Callable[[], bool]) -> None:
+        super().on_short(evict)
+        self._whole.on_short(evict)
+
+    def close(self) -> None:
+        """Its user is gone."""
+        for evict in self._evictors:
+            self._whole.forget(evict)
+
+    def claim(self) -> bool:
+        if not super().claim():
+            self.refused += 1
+            return False
+        if not self._whole.claim():
+            self.taken -= 1
+            return False
+        return True
+
+    def free(self) -> None:
+        super().free()
+        self._whole.free()
