--- a/brackengate/fleet/sources.py
+++ b/brackengate/fleet/sources.py
@@ -13,7 +13,7 @@
 from brackengate.installation.reading import BadFile, load_upstreams
 from brackengate.installation.schema import Upstream
 from brackengate.interface import Endpoint, Lifecycle, ListKind
-from brackengate.net.node import Node
+from brackengate.net.discovery import Listed
 from brackengate.net.sockets import parse_address
 
 log = logging.getLogger(__name__)
@@ -29,7 +29,7 @@
     warm one for cold costs some seconds of its share, the other way round its life.
     """
 
-    def __init__(self, node: Node) -> None:
+    def __init__(self, node: Listed) -> None:
         self._node = node
         self._since: dict[str, int] = {}
         self._version = 0
@@ -51,7 +51,7 @@
             cell=row.cell,
             state=STATES[row.state],
             weight=row.weight,
-            started_at=self._since[row.name],
+            started_at=row.since or self._since[row.name],
         )
 
     def watch(self, on: bool) -> None:
@@ -68,7 +68,7 @@
     a shorter list that is soon followed by another change; writers should write beside it and rename.
     """
 
-    def __init__(self, node: Node, path: str, every_s: float) -> None:
+    def __init__(self, node: Listed, path: str, every_s: float) -> None:
         super().__init__(node)
         self.path, self._every_s = path, every_s
         self.turned_down = 0
--- a/brackengate/installation/reading.py
+++ b/brackengate/installation/reading.py
@@ -22,8 +22,11 @@
     Section,
     Upstream,
     UpstreamFile,
+    Xds,
 )
 from brackengate.net.sockets import parse_address
+from brackengate.snapshot.check import faults as snapshot_faults
+from brackengate.snapshot.model import make
 
 Key = tuple[str | int, ...]
 MAX_FILE = 1 << 20  # a pipe to an instance holds as much
@@ -374,6 +377,7 @@
         else:
             faults.append((("upstreams", "discovery"), 'is missing: source = "discovery" needs host:port'))
     check_rows(up.static, ("upstreams", "static"), faults)
+    _check_versions(file, faults)
     fleet = file.fleet
     if fleet.balancers and fleet.balancers < fleet.first_number + count:
         faults.append(
@@ -420,6 +424,43 @@
     return faults
 
 
+def _check_versions(file: File, faults: list[tuple[Key, str]]) -> None:
+    """Routes, pools and where their versions come from."""
+    source, up = file.versions.source, file.upstreams
+    if source != "xds" and file.xds != Xds():
+        faults.append((("xds",), 'is for versions.source = "xds"'))
+    if source != "file" and (file.route or file.pool):
+        key = "route" if file.route else "pool"
+        faults.append(((key,), 'is for versions.source = "file"; without it there is one list of upstreams'))
+    if source == "off":
+        if up.source == "none":
+            faults.append((("upstreams", "source"), '"none" is for where versions.source is not "off"'))
+        return
+    if up.on_request:
+        faults.append((("upstreams", "on_request"), "a list that the module asks for is not for pools"))
+    if source == "xds":
+        if not file.xds.servers:
+            faults.append((("xds", "servers"), 'is missing: the control services, as ["127.0.0.1:18000"]'))
+        for i, text in enumerate(file.xds.servers):
+            _address(text, ("xds", "servers", i), faults)
+        if up.source != "none":
+            faults.append((("upstreams", "source"), '"none" is needed with versions.source = "xds"'))
+        if file.xds.backoff > file.xds.backoff_most:
+            faults.append((("xds", "backoff"), f"is more than backoff_most, {file.xds.backoff_most}"))
+        return
+    faults += snapshot_faults(make(file.pool, file.route), file.class_)
+    for name, pool in file.pool.items():
+        key_of: Key = ("pool", name)
+        if pool.from_discovery and pool.upstream:
+            faults.append(((*key_of, "upstream"), "stands beside from_discovery; one of the two is allowed"))
+        if pool.from_discovery and up.source == "none":
+            faults.append(((*key_of, "from_discovery"), "needs an upstreams.source"))
+        if pool.kind and not pool.from_discovery:
+            faults.append(((*key_of, "kind"), "is for pools with from_discovery"))
+    if up.source != "none" and not any(pool.from_discovery for pool in file.pool.values()):
+        faults.append((("upstreams", "source"), "no pool has from_discovery, so these have no use"))
+
+
 def _check_graphql(file: File, faults: list[tuple[Key, str]]) -> None:
     told = file.graphql
     if not told.path:
--- a/brackengate/installation/schema.py
+++ b/brackengate/installation/schema.py
@@ -80,6 +80,9 @@
     cell: Annotated[int, Bounds(-1, 1 << 31)] = -1
     weight: Annotated[float, Bounds(1e-3, 1e6)] = 1.0
     state: Literal["serving", "draining"] = "serving"
+    since: Annotated[int, Bounds(0, 1 << 60)] = (
+        0  # when it started, in microseconds of Unix time; 0: not known
+    )
 
 
 class UpstreamFile(Section, frozen=True, kw_only=True):
@@ -89,7 +92,7 @@
 
 
 class Upstreams(Section, frozen=True, kw_only=True):
-    source: Literal["static", "file", "discovery"]
+    source: Literal["static", "file", "discovery", "none"]  # none: pools have their own
     discovery: str = ""
     on_request: bool = False  # discovery is asked and does not push
     file: str = ""
@@ -215,6 +218,79 @@
     enterprise: Annotated[int, Bounds(1, 4_294_967_295)] = 32_473  # the number for examples (RFC 5612)
 
 
+class HeaderMatch(Section, frozen=True, kw_only=True):
+    """One condition on a header; of exact, prefix and present one at the most.  None of them: it is there."""
+
+    name: Annotated[str, msgspec.Meta(pattern="^[A-Za-z0-9-]{1,64}$")]
+    exact: str = ""
+    prefix: str = ""
+    invert: bool = False
+
+
+class Route(Section, frozen=True, kw_only=True):
+    """Which requests go to which pool.  Conditions that are empty hold for all; the first that fits wins."""
+
+    name: Annotated[str, msgspec.Meta(pattern="^[!-~]{1,128}$")]
+    host: tuple[str, ...] = ()  # as "a.example", "*.example", "a.*" or "*"
+    path: str = ""  # the whole of it, without the query
+    prefix: str = ""
+    method: tuple[str, ...] = ()
+    header: tuple[HeaderMatch, ...] = ()
+    class_: tuple[str, ...] = msgspec.field(name="class", default=())
+    tenant: tuple[str, ...] = ()
+    operation: tuple[str, ...] = ()  # a GraphQL operation's name, or "type:mutation", "type:query"
+    pool: str = ""  # one pool; none here and in `split`: answered with 404
+    split: dict[str, Annotated[int, Bounds(0, 1_000_000)]] = {}  # pools by weight
+    by: Literal["client", "tenant", "entity", "request"] = "client"  # what keeps its part of a split
+
+
+class Pool(Section, frozen=True, kw_only=True):
+    """Upstreams with a decision module of their own.  0: as in `limits` and `cold`."""
+
+    upstream: tuple[Upstream, ...] = ()
+    from_discovery: bool = False  # its rows come from [upstreams], those of `kind` where that is given
+    kind: str = ""
+    max_connections: Annotated[int, Bounds(0, 1 << 20)] = 0  # of one instance; 0: no bound of its own
+    max_requests: Annotated[int, Bounds(0, 1 << 20)] = 0  # the same, of requests that are held
+    max_attempts: Annotated[int, Bounds(0, 16)] = 0
+    connect_timeout: Annotated[Duration, Bounds(0, 60 * S)] = Duration(0)
+    idle_close: Annotated[Duration, Bounds(0, 3600 * S)] = Duration(0)
+    cold_share: Annotated[float, Bounds(0, 1)] = 0.0
+    cold_time: Annotated[Duration, Bounds(0, 3600 * S)] = Duration(0)
+
+
+class Versions(Section, frozen=True, kw_only=True):
+    """Routes and pools in numbered versions.  Off without a source."""
+
+    source: Literal["off", "file", "xds"] = "off"
+    history: Annotated[int, Bounds(2, 64)] = 8
+    folder: str = ""  # on a disk that lasts: the last good version; none: a start without the source is empty
+    save_every: Annotated[Duration, Bounds(10 * MS, 600 * S)] = Duration(S)
+    jitter: Annotated[Duration, Bounds(0, 400 * MS)] = Duration(0)
+    canary: Annotated[float, Bounds(0, 1)] = 0.0  # the part of the fleet that goes first; 0: all at once
+    canary_time: Annotated[Duration, Bounds(100 * MS, 3600 * S)] = Duration(30 * S)
+    canary_least: Annotated[int, Bounds(1, 1_000_000)] = 20  # answers before a version is judged
+    canary_more: Annotated[float, Bounds(0.001, 1)] = 0.05  # more failed, as a part of all, than before
+    backwards: Literal["accept", "refuse"] = "accept"  # a lower number, where versions are numbers
+    client_header: Annotated[str, msgspec.Meta(pattern="^([A-Za-z0-9-]{1,64})?$")] = "X-Client"  # for splits
+
+
+class Xds(Section, frozen=True, kw_only=True):
+    """The control services of `versions.source = "xds"`."""
+
+    servers: tuple[str, ...] = ()  # host:port; the first that can be reached is used
+    node_id: str = ""  # none: the installation's name and the instance's number
+    cluster: str = ""
+    metadata: dict[str, str] = {}
+    route_config: str = "default"
+    incremental: bool = False
+    settle: Annotated[Duration, Bounds(10 * MS, 60 * S)] = Duration(S)  # for what a resource refers to
+    resource_timeout: Annotated[Duration, Bounds(100 * MS, 600 * S)] = Duration(15 * S)
+    backoff: Annotated[Duration, Bounds(10 * MS, 60 * S)] = Duration(200 * MS)
+    backoff_most: Annotated[Duration, Bounds(10 * MS, 600 * S)] = Duration(10 * S)
+    keepalive: Annotated[Duration, Bounds(S, 3600 * S)] = Duration(10 * S)
+
+
 class Log(Section, frozen=True, kw_only=True):
     level: Literal["debug", "info", "warning", "error"] = "info"
 
@@ -234,4 +310,8 @@
     repeats: Repeats = Repeats()
     queues: Queues = Queues()
     flow: FlowExport = FlowExport()
+    route: tuple[Route, ...] = ()
+    pool: dict[str, Pool] = {}
+    versions: Versions = Versions()
+    xds: Xds = Xds()
     log: Log = Log()
--- a/brackengate/installation/settings.py
+++ b/brackengate/installation/settings.py
@@ -80,7 +80,7 @@
 
     Of `fleet`, what only the supervisor reads is not among them.
     """
-    held = (
+    held: tuple[str, ...] = (
         "installation",
         "listener",
         "class_",
@@ -91,7 +91,11 @@
         "repeats",
         "queues",
         "flow",
+        "versions",
+        "xds",
     )
+    if old.versions.source != "file":
+        held = (*held, "route", "pool")
     changed = [name.rstrip("_") for name in held if getattr(old, name) != getattr(new, name)]
     one, other = old.upstreams, new.upstreams
     if (one.source, one.on_request) != (other.source, other.on_request):
