--- /dev/null
+++ b/brackengate/routing/pools.py
@@ -0,0 +1,361 @@
+"""The pools behind the door: a node, connections and a decision module each.  Decides nothing.
+
+Which pool a request goes to was decided when it came (`Chosen`), and stays so, whatever comes into use.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Any
+
+from brackengate.brain import Balancer
+from brackengate.installation.schema import Pool as PoolSettings
+from brackengate.interface import ListKind, Outcome, Request, Settings
+from brackengate.net.node import REFUSED, Caller, Clock, Message, Node, Reply
+from brackengate.net.observer import FlowWatch, Observer
+from brackengate.net.sockets import PartBudget, SocketBudget
+from brackengate.net.upstream import Pool as Connections
+from brackengate.routing.bulkhead import WORDS, Bulkhead, Reason
+from brackengate.routing.members import Ages, Telling
+from brackengate.routing.table import RouteTable, Traits
+from brackengate.snapshot.diff import Rows, compare
+from brackengate.snapshot.model import EMPTY, Snapshot
+
+log = logging.getLogger(__name__)
+
+REMEMBERED = 1024  # ids
+LOOK_S = 0.05  # between looks at whether a pool that leaves still holds something
+BAD = 400
+
+
+@dataclass(frozen=True, slots=True)
+class Chosen:
+    """Where a request goes: this generation of a pool, by this version of the table."""
+
+    pool: PoolRun
+    version: str
+
+
+class _PoolObserver:
+    """For one pool's node: what it tells goes straight on, but whether it serves is a matter of all pools."""
+
+    __slots__ = ("attempt_began", "attempt_ended", "ended", "serving", "taken")
+
+    def __init__(self, inner: Observer, serving: Callable[[], None]) -> None:
+        self.taken: Callable[[Request, int], None] = inner.taken
+        self.ended: Callable[[Request, int, int, int], None] = inner.ended
+        self.attempt_began: Callable[[Request, int, str, int], None] = inner.attempt_began
+        self.attempt_ended: Callable[[Request, int, str, Outcome, int], None] = inner.attempt_ended
+        self.serving: Callable[[bool], None] = lambda now: serving()
+
+
+class PoolRun:
+    """One generation of a pool: a change of its settings makes another, and this one leaves."""
+
+    def __init__(
+        self,
+        name: str,
+        generation: int,
+        told: PoolSettings,
+        base: Settings,
+        clock: Clock,
+        budget: SocketBudget,
+        ages: Ages,
+    ) -> None:
+        self.name, self.generation = name, generation
+        self._loop = asyncio.get_running_loop()
+        settings = pool_settings(base, told)
+        self.settings = settings
+        self.budget = PartBudget(budget, told.max_connections or budget.limit)
+        connect_s, idle_s = settings.connect_timeout / 1e6, settings.idle_close / 1e6
+        self.connections = Connections(self._loop, self.budget, connect_s, idle_s)
+        module = Balancer(settings, random.SystemRandom().getrandbits(64))
+        self.node = Node(self._loop, clock, settings, module, self.connections)
+        self.bulkhead = Bulkhead(told.max_requests, settings.max_retry_after)
+        self.telling = Telling(ages)
+        self.retired_at = 0
+        self._telling = False
+        self._lists = 0
+
+    def caps(self, told: PoolSettings) -> None:
+        """Bounds that change while it runs; what is over a lower one goes as it ends."""
+        self.bulkhead.most = told.max_requests
+        self.budget.limit = told.max_connections or self.budget.whole_limit
+
+    def tell(self, rows: Rows) -> None:
+        """Those that leave now; the rest a slice each turn of the loop, the first of them now."""
+        if urgent := self.telling.take(rows):
+            self._list(urgent)
+        if not self._telling:
+            self._next()
+
+    def _list(self, listed: list[Any]) -> None:
+        self._lists += 1
+        self.node.listed(ListKind.CHANGES, listed, self._lists)
+
+    def _next(self) -> None:
+        self._telling = False
+        if self.retired_at:
+            return
+        if some := self.telling.slice():
+            self._list(some)
+        if not self.telling.done():
+            self._telling = True
+            self._loop.call_soon(self._next)
+
+    def retire(self, at: int) -> None:
+        self.retired_at = at
+        self.node.retire()
+
+    def close(self) -> None:
+        self.connections.close()
+        self.budget.close()
+
+    def status(self) -> dict[str, Any]:
+        return {
+            "pool": self.name,
+            "generation": self.generation,
+            "upstreams": self.telling.known(),
+            "serving": self.node.serving(),
+            "held": self.bulkhead.held,
+            "max_requests": self.bulkhead.most,
+            "connections": self.budget.taken,
+            "max_connections": self.budget.limit,
+            "connections_refused": self.budget.refused,
+            "mean_ms": round(self.bulkhead.mean / 1000, 1),
+            "leaving": bool(self.retired_at),
+            "refused": {reason.value: count for reason, count in self.bulkhead.refused.items()},
+        }
+
+
+def pool_settings(base: Settings, told: PoolSettings) -> Settings:
+    """The installation's settings with what a pool says itself."""
+    return replace(
+        base,
+        max_attempts=told.max_attempts or base.max_attempts,
+        connect_timeout=int(told.connect_timeout) or base.connect_timeout,
+        idle_close=int(told.idle_close) or base.idle_close,
+        cold_share=told.cold_share or base.cold_share,
+        cold_time=int(told.cold_time) or base.cold_time,
+    )
+
+
+class Pools:
+    """What stands behind all stages, in place of a single node."""
+
+    def __init__(
+        self,
+        base: Settings,
+        clock: Clock,
+        budget: SocketBudget,
+        observer: Observer | None = None,
+        answered: Callable[[int], None] | None = None,
+    ) -> None:
+        """`answered`: hears of each answer's status, for whoever judges a version."""
+        self._base, self.clock, self._budget = base, clock, budget
+        self._observer, self.on_answer = observer, answered
+        self._loop = asyncio.get_running_loop()
+        self.classes = {cls.name: cls for cls in base.classes}
+        self.snapshot: Snapshot = EMPTY
+        self.table: RouteTable | None = None
+        self.runs: dict[str, PoolRun] = {}
+        self.leaving: list[PoolRun] = []
+        self._ages = Ages()
+        self._held: dict[str, _Held] = {}
+        self._recent: dict[str, None] = {}
+        self._generation = 0
+        self._serves = False
+        self._looking: asyncio.TimerHandle | None = None
+        self._flows: FlowWatch | None = None
+        self.counters = {"versions": 0, "pools_made": 0, "pools_gone": 0, "no_route": 0}
+
+    # --- Core
+
+    def can_serve(self) -> bool:
+        return any(run.node.can_serve() for run in self.runs.values())
+
+    def serving(self) -> int:
+        """Upstreams that serve, over all pools."""
+        return sum(run.node.serving() for run in self.runs.values())
+
+    def held(self) -> int:
+        return len(self._held)
+
+    def known(self, request: str) -> bool:
+        return request in self._held or request in self._recent or self._still_out(request)
+
+    def started(self, request: str) -> bool:
+        held = self._held.get(request)
+        return held is not None and held.run.node.started(request)
+
+    def submit(self, request: Request, message: Message, caller: Caller) -> None:
+        chosen, name = message.route, request.request
+        if not isinstance(chosen, Chosen):
+            caller.answer(Reply(REFUSED, b"refused: no pool was chosen\n", b"text/plain"))
+            return
+        if name in self._held:  # one that waited at the door while another took its id
+            caller.answer(Reply(BAD, b"X-Txn has been used\n", b"text/plain"))
+            return
+        run = chosen.pool
+        reason = run.bulkhead.ask(run.telling.known(), bool(run.retired_at))
+        if reason is not None:
+            self._refuse(run, reason, caller)
+            return
+        held = self._held[name] = _Held(self, run, name, caller, self.clock.now())
+        run.node.submit(request, message, held)
+
+    def gone(self, request: str, caller: Caller) -> None:
+        held = self._held.get(request)
+        if held is not None and held.caller is caller:
+            self._forget(held)
+            held.run.node.gone(request, held)
+
+    def _refuse(self, run: PoolRun, reason: Reason, caller: Caller) -> None:
+        after = run.bulkhead.retry_after(reason)
+        self._told(REFUSED)
+        caller.answer(Reply(REFUSED, WORDS[reason], b"text/plain", after))
+
+    def _forget(self, held: _Held) -> None:
+        if self._held.get(held.name) is held:
+            del self._held[held.name]
+            held.run.bulkhead.left(self.clock.now() - held.began)
+            self._recent[held.name] = None
+            if len(self._recent) > REMEMBERED:
+                del self._recent[next(iter(self._recent))]
+
+    def _still_out(self, request: str) -> bool:
+        """Answered, and an attempt of it still runs: its id would be taken for the other's."""
+        return any(run.node.in_flight(request) for run in (*self.runs.values(), *self.leaving))
+
+    def _told(self, status: int) -> None:
+        if self.on_answer is not None:
+            self.on_answer(status)
+
+    # --- routes
+
+    def choose(self, traits: Traits) -> Chosen | None:
+        """By the table in use; None where no route fits, or there is no table yet."""
+        if self.table is not None:
+            run = self.runs.get(self.table.pool(traits))
+            if run is not None:
+                return Chosen(run, self.table.version)
+        self.counters["no_route"] += 1
+        return None
+
+    # --- versions
+
+    def apply(self, snapshot: Snapshot, version: str) -> None:
+        """Go over to a snapshot in one step, which must have no faults.
+
+        In this order: what leaves is told, new pools are made and have their first upstreams, the table
+        changes, and pools that are no longer there leave.
+        """
+        now, first = self.clock.now(), self.table is None
+        told = compare(self.snapshot, snapshot)
+        for name in (*told.added, *told.rebuilt):
+            self._ages.see(now, snapshot.pools[name].upstream, first)
+        for rows in told.rows.values():
+            self._ages.see(now, (*rows.added, *rows.changed))
+        renewed = set(told.rebuilt)
+        for name, rows in told.rows.items():
+            if name not in renewed:
+                self.runs[name].tell(rows)
+        for name in told.caps:
+            if name not in renewed:
+                self.runs[name].caps(snapshot.pools[name])
+        old = [self.runs.pop(name) for name in (*told.removed, *told.rebuilt)]
+        for name in (*told.added, *told.rebuilt):
+            self._make(name, snapshot.pools[name])
+        before, self.snapshot = self.snapshot, snapshot
+        if told.routes or self.table is None:
+            self.table = RouteTable(snapshot.routes, version)
+        self.table.version = version
+        for run in old:
+            log.info(
+                "pool %s (generation %d): leaves, with %d held", run.name, run.generation, run.node.held()
+            )
+            self.leaving.append(run)
+            run.retire(now)
+        self._forget_ages(before, told.removed, told.rows)
+        self.counters["versions"] += 1
+        self._look()
+        self._serving_changed()
+
+    def _make(self, name: str, told: PoolSettings) -> None:
+        self._generation += 1
+        self.counters["pools_made"] += 1
+        run = PoolRun(name, self._generation, told, self._base, self.clock, self._budget, self._ages)
+        run.connections.flows = self._flows
+        if self._observer is not None:
+            run.node.observer = _PoolObserver(self._observer, self._serving_changed)
+        self.runs[name] = run
+        run.tell(Rows(added=told.upstream))
+
+    def _forget_ages(self, before: Snapshot, removed: tuple[str, ...], changed: dict[str, Rows]) -> None:
+        left = [row for name in removed for row in before.pools[name].upstream]
+        for name, rows in changed.items():
+            left += rows.removed
+            if rows.changed:
+                names = {row.name for row in rows.changed}
+                left += [row for row in before.pools[name].upstream if row.name in names]
+        if left:
+            there = {row.address for pool in self.snapshot.pools.values() for row in pool.upstream}
+            self._ages.left(self.clock.now(), [row for row in left if row.address not in there])
+
+    def _serving_changed(self) -> None:
+        now = self.can_serve()
+        if now is not self._serves:
+            self._serves = now
+            if self._observer is not None:
+                self._observer.serving(now)
+
+    def _look(self) -> None:
+        """Close pools that have left and hold nothing any more."""
+        if self._looking is not None:
+            self._looking.cancel()
+            self._looking = None
+        for run in [run for run in self.leaving if run.node.out() == 0]:
+            self.leaving.remove(run)
+            run.close()
+            self.counters["pools_gone"] += 1
+            log.info("pool %s (generation %d): gone", run.name, run.generation)
+        if self.leaving:
+            self._looking = self._loop.call_later(LOOK_S, self._look)
+
+    # --- the rest
+
+    def watch_flows(self, flows: FlowWatch) -> None:
+        self._flows = flows
+        for run in self.runs.values():
+            run.connections.flows = flows
+
+    def close(self) -> None:
+        if self._looking is not None:
+            self._looking.cancel()
+        for run in (*self.runs.values(), *self.leaving):
+            run.close()
+
+    def status(self) -> dict[str, Any]:
+        return {
+            **self.counters,
+            "ages": len(self._ages),
+            "pools": [run.status() for run in (*self.runs.values(), *self.leaving)],
+        }
+
+
+class _Held:
+    """One request at a pool, and the caller that its node sees."""
+
+    __slots__ = ("_pools", "began", "caller", "name", "run")
+
+    def __init__(self, pools: Pools, run: PoolRun, name: str, caller: Caller, began: int) -> None:
+        self._pools, self.run, self.name, self.caller, self.began = pools, run, name, caller, began
+
+    def answer(self, reply: Reply) -> None:
+        self._pools._forget(self)
+        self.caller.answer(reply)
+        self._pools._told(reply.status)
