--- /dev/null
+++ b/brackengate/fleet/configured.py
@@ -0,0 +1,143 @@
+"""What an instance has in place of a single node where routes and pools come in versions."""
+
+from __future__ import annotations
+
+import logging
+import random
+from typing import Any
+
+from brackengate.fleet import control
+from brackengate.installation import settings as derived
+from brackengate.installation.schema import File
+from brackengate.net.node import Clock
+from brackengate.net.observer import Observer
+from brackengate.net.sockets import SocketBudget
+from brackengate.routing import setup as routing
+from brackengate.routing.feed import Feed
+from brackengate.routing.pools import Pools
+from brackengate.snapshot.model import Snapshot, builtins, prune
+from brackengate.versions.carrier import Versions
+from brackengate.versions.rollout import Rollout, Terms
+from brackengate.versions.store import State, Store, Version
+
+log = logging.getLogger("brackengate")
+
+
+class Configured:
+    """Pools, the version store and its source."""
+
+    def __init__(
+        self,
+        file: File,
+        slot: int,
+        clock: Clock,
+        budget: SocketBudget,
+        observer: Observer,
+        rng: random.Random,
+    ) -> None:
+        told, self._source = file.versions, file.versions.source
+        name = f"{file.installation.name}-{file.fleet.first_number + slot}"
+        terms = Terms(
+            jitter=int(told.jitter),
+            canary=told.canary,
+            canary_time=int(told.canary_time),
+            least=told.canary_least,
+            more=told.canary_more,
+        )
+        store = Store(tuple(file.class_), Rollout(terms, name), told.history, told.backwards == "accept")
+        self.pools = Pools(derived.settings(file), clock, budget, observer)
+        self.versions = Versions(
+            store, self.pools, clock, file.installation.name, slot, told.folder, int(told.save_every)
+        )
+        self.pools.on_answer = self.versions.answered
+        self.route_of = routing.route_of(file, self.pools)
+        self.feed = Feed(clock, self._listed)
+        self._clock = clock
+        self._base: Snapshot = routing.snapshot(file)
+        self._files, self._list_version = 0, 0
+        self._client: Any = None
+        if self._source == "xds":
+            from brackengate.xds import setup  # grpcio is an extra: only where it is used
+
+            self._client = setup.client(file, slot, clock, self.versions.offer, rng)
+            self.versions.on_verdict = self._verdict
+
+    def start(self, file: File) -> None:
+        """Begin: with what was last good where the source may be out of reach, with the file itself else."""
+        if self._source == "file":
+            self.read(file)
+            return
+        log.info("routes and pools: %s", self.versions.recover())
+        self._client.start()
+
+    def read(self, file: File) -> None:
+        """The file, at the start and on each reload: where nothing changed, nothing is done."""
+        if self._source == "file":
+            self._base = routing.snapshot(file)
+            self._files += 1
+            self._offer()
+
+    def _listed(self, version: int) -> None:
+        self._list_version = version
+        if self._files:
+            self._offer()
+
+    def _offer(self) -> None:
+        label = f"file {self._files}" + (f" list {self._list_version}" if self._list_version else "")
+        snapshot = prune(self.feed.lay(self._base))
+        self.versions.offer(label, "file", snapshot, self._clock.now())
+
+    def _verdict(self, version: Version, reasons: tuple[str, ...]) -> None:
+        """What was taken is acknowledged already; that a version was left again is told late."""
+        if version.state is State.RETURNED and version.source.startswith("xds"):
+            self._client.returned(reasons)
+
+    async def close(self) -> None:
+        if self._client is not None:
+            await self._client.close()
+        await self.versions.close()
+        self.pools.close()
+
+    # --- for operators
+
+    def why_not_ready(self) -> str:
+        """What is still to come before anything can be served; empty where nothing is."""
+        if self.pools.table is None:
+            if self._client is None:
+                return "no version was taken"
+            told = self._client.status()
+            waits = ", ".join(told["waits_for"])
+            return f"no routes yet: {told['why'] or 'connected'}; waits for {waits or 'the first version'}"
+        return "" if self.pools.can_serve() else "no pool has an upstream that serves"
+
+    def ask(self, request: control.Request) -> dict[str, Any]:
+        """`config` commands: an answer, with "error" where it can't be done."""
+        versions = self.versions
+        match request:
+            case control.Rollback(name):
+                why = versions.rollback(name)
+                return {"error": why} if why else {"text": f"in use and pinned: {versions.in_use()}"}
+            case control.Release():
+                why = versions.release()
+                return {"error": why} if why else {"text": f"in use: {versions.in_use()}"}
+            case control.Difference(one, other):
+                return versions.difference(one, other)
+            case control.Show(name):
+                version = versions.store.find(name) if name else versions.store.in_use
+                if version is None:
+                    return {"error": f"no version {name!r} is held" if name else "no version is in use"}
+                in_use = version is versions.store.in_use
+                snapshot = versions.store.active if in_use else version.snapshot
+                told = {"label": version.label, "digest": version.digest, "state": version.state.value}
+                return told | builtins(snapshot)
+        return {"error": "not a request about versions"}
+
+    def status(self) -> dict[str, Any]:
+        told: dict[str, Any] = {
+            "versions": self.versions.status(),
+            "pools": self.pools.status(),
+            "not_ready": self.why_not_ready(),
+        }
+        if self._client is not None:
+            told["xds"] = self._client.status()
+        return told
--- a/brackengate/fleet/control.py
+++ b/brackengate/fleet/control.py
@@ -57,7 +57,30 @@
     pass
 
 
-Request = Status | Sockets | Restart | Reload | Stop
+# Of versions: asked of the supervisor for all instances, and of an instance for itself.
+
+Name = Annotated[str, msgspec.Meta(max_length=256)]
+
+
+class Rollback(msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag_field="op", tag="rollback"):
+    version: Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+
+
+class Release(msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag_field="op", tag="release"):
+    pass
+
+
+class Difference(msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag_field="op", tag="difference"):
+    one: Name = ""
+    other: Name = ""
+
+
+class Show(msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag_field="op", tag="show"):
+    version: Name = ""
+
+
+OfVersions = Rollback | Release | Difference | Show
+Request = Status | Sockets | Restart | Reload | Stop | OfVersions
 _DECODER: msgspec.json.Decoder[Request] = msgspec.json.Decoder(Request)
 
 
@@ -141,7 +164,7 @@
                 try:
                     request = _DECODER.decode(line)
                 except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-                    ops = "status, sockets, restart, reload, stop"
+                    ops = "status, sockets, restart, reload, stop, rollback, release, difference, show"
                     await connection.send({"error": f"not a request: {error}; 'op' is one of: {ops}"})
                     continue
                 await self._handler(request, connection)
--- a/brackengate/fleet/instance.py
+++ b/brackengate/fleet/instance.py
@@ -17,6 +17,7 @@
 
 from brackengate.brain import Balancer
 from brackengate.fleet import activation, control, lifecycle
+from brackengate.fleet.configured import Configured
 from brackengate.fleet.counters import Counters
 from brackengate.fleet.notify import Notifier
 from brackengate.fleet.sources import FileSource, StaticSource
@@ -26,8 +27,8 @@
 from brackengate.installation.reading import BadFile, load
 from brackengate.installation.schema import File
 from brackengate.net.api import API, Api
-from brackengate.net.discovery import Discovery
-from brackengate.net.http import Door, Front, Inner
+from brackengate.net.discovery import Discovery, Listed
+from brackengate.net.http import ANY, Door, Front, Inner
 from brackengate.net.node import Clock, Node
 from brackengate.net.server import LAST_CALL_S, Server
 from brackengate.net.sockets import SocketBudget, bind, parse_address
@@ -37,6 +38,7 @@
 from brackengate.repeats import setup as repeats
 from brackengate.repeats.door import RepeatsDoor
 from brackengate.repeats.journal import Journal
+from brackengate.routing.pools import Pools
 
 log = logging.getLogger("brackengate")
 
@@ -89,9 +91,18 @@
         connect_s, idle_s = self._settings.connect_timeout / 1e6, self._settings.idle_close / 1e6
         pool = self._pool = Pool(self._loop, self._budget, connect_s, idle_s)
         seed = random.SystemRandom().getrandbits(64)
-        self.node = Node(self._loop, Clock(), self._settings, Balancer(self._settings, seed), pool)
+        clock = Clock()
         self.counters = Counters(lambda now: self._post(lifecycle.Serving(now)))
-        self.node.observer = self.counters
+        self._configured: Configured | None = None
+        self.node: Node | Pools
+        if file.versions.source == "off":
+            self.node = Node(self._loop, clock, self._settings, Balancer(self._settings, seed), pool)
+            self.node.observer = self.counters
+        else:
+            rng = random.Random(seed ^ 0xC0F16)
+            self._configured = Configured(file, told.slot, clock, self._budget, self.counters, rng)
+            self.node = self._configured.pools
+        route_of = self._configured.route_of if self._configured is not None else None
         room = max(32, (limits.memory_mb - OWN_MB) * 1024 // CALLER_KB)
         self._names, sockets = self._open_sockets(file)
         self._listening, crowd = sockets, queues.crowd(file)
@@ -107,19 +118,23 @@
         if client_of is not None:
             self._repeats, self._journal = repeats.door(file, door, self.node.clock, self._loop, told.slot)
             outer = self._repeats
-        fronts: dict[bytes, Front] = {API: Api(self.node, client_of, origin_of)}
+        fronts: dict[bytes, Front] = {API: Api(self.node, client_of, origin_of, route_of)}
+        if route_of is not None:
+            fronts[ANY] = fronts[API]  # routes say which paths there are
         self._graphql: dict[str, Any] = {}
         if file.graphql.path:
             from brackengate.graphql import setup  # graphql-core is an extra: only where it is used
 
             front = self._graphql[file.graphql.path] = setup.front(
-                file, self.node, outer, client_of, origin_of
+                file, self.node, outer, client_of, origin_of, route_of
             )
             fronts[file.graphql.path.encode()] = front
         self._server = Server(self._loop, self.node, self._budget, sockets, room, fronts, outer, crowd)
         self._flow = flow.exporter(file, told.slot)
         if self._flow is not None:
-            self._server.flows = pool.flows = Watch(self._flow.cache)
+            self._server.flows = pool.flows = watch = Watch(self._flow.cache)
+            if self._configured is not None:
+                self._configured.pools.watch_flows(watch)
         self._control: control.ControlServer | None = None
         self._source = self._make_source(file, random.Random(seed ^ 0x5EED))
 
@@ -152,14 +167,24 @@
 
     def _make_source(self, file: File, rng: random.Random) -> StaticSource | Discovery:
         up = file.upstreams
+        target: Listed = self.node if isinstance(self.node, Node) else self._of_versions().feed
         if up.source == "discovery":
-            return Discovery(self.node, parse_address(up.discovery), up.on_request, rng)
+            return Discovery(target, parse_address(up.discovery), up.on_request, rng)
         if up.source == "file":
-            return FileSource(self.node, up.file, up.check_every / 1e6)
-        return StaticSource(self.node)
+            return FileSource(target, up.file, up.check_every / 1e6)
+        return StaticSource(target)
+
+    def _of_versions(self) -> Configured:
+        assert self._configured is not None
+        return self._configured
 
     def _start_source(self, file: File) -> None:
-        self.node.watch = self._source
+        if self._configured is not None:
+            self._configured.start(file)
+        if isinstance(self.node, Node):
+            self.node.watch = self._source
+        if file.upstreams.source == "none":
+            return
         if isinstance(self._source, Discovery):
             self._source.start({"index": 0, "snapshot": True, "endpoints": []})
         elif isinstance(self._source, FileSource):
@@ -202,6 +227,8 @@
             if self.life.open:
                 self._server.close()
             self._pool.close()
+            if self._configured is not None:
+                await self._configured.close()
             if self._flow is not None:
                 await asyncio.sleep(0)  # connections that were just closed tell of their end
                 self._flow.close()
@@ -265,7 +292,9 @@
         needs = derived.needs_restart(self._started_with, file)
         logging.getLogger().setLevel(file.log.level.upper())
         up = file.upstreams
-        if "upstreams.source" not in needs:
+        if self._configured is not None and "versions" not in needs:
+            self._configured.read(file)
+        if "upstreams.source" not in needs and up.source != "none":
             if isinstance(self._source, Discovery):
                 self._source.move(parse_address(up.discovery))
             elif isinstance(self._source, FileSource):
@@ -290,6 +319,9 @@
                     return
                 told = {"names": self._names, "addresses": self._addresses()}
                 await connection.send(told, [sock.fileno() for sock in self._listening])
+            case control.Rollback() | control.Release() | control.Difference() | control.Show():
+                off = {"error": "versions.source is off: there is one list of upstreams and no version"}
+                await connection.send(self._configured.ask(request) if self._configured is not None else off)
             case _:
                 await connection.send({"error": "an instance answers status and sockets; ask control.sock"})
 
@@ -335,5 +367,6 @@
             "repeats": self._repeats_status(),
             "queues": self._queues_status(),
             "flow": self._flow.stats() if self._flow is not None else {},
+            "config": self._configured.status() if self._configured is not None else {},
             **self.counters.as_json(),
         }
--- a/brackengate/fleet/supervisor.py
+++ b/brackengate/fleet/supervisor.py
@@ -21,6 +21,8 @@
 from collections.abc import Sequence
 from typing import Any
 
+import msgspec
+
 from brackengate.fleet import activation, control, keeper
 from brackengate.fleet.notify import Notifier
 from brackengate.installation import settings as derived
@@ -484,6 +486,17 @@
                 await self._restart(slots, together, connection)
             case control.Sockets():
                 await connection.send({"error": "sockets are handed out by instances"})
+            case _:
+                await connection.send(await self._ask_all(request))
+
+    async def _ask_all(self, request: control.OfVersions) -> dict[str, Any]:
+        """Of every instance that runs, what it answers."""
+        rows = [row for row in self.keeper.rows() if row.pid]
+        told = [self._ask(row, msgspec.to_builtins(request)) for row in rows]
+        said = await asyncio.gather(*told)
+        return {
+            "answers": [{"slot": r.slot, "pid": r.pid, "says": s} for r, s in zip(rows, said, strict=True)]
+        }
 
     async def _restart(self, slots: tuple[int, ...], together: int, connection: control.Connection) -> None:
         count = self.file.fleet.instances
@@ -535,7 +548,7 @@
             ],
         }
 
-    async def _ask(self, row: keeper.Row) -> dict[str, Any]:
+    async def _ask(self, row: keeper.Row, request: dict[str, Any] | None = None) -> dict[str, Any]:
         if not row.pid:
             return {}
         try:
@@ -543,7 +556,7 @@
         except OSError:
             return {}
         try:
-            return await client.ask({"op": "status"}, ASK_S)
+            return await client.ask(request or {"op": "status"}, ASK_S)
         except (OSError, EOFError, ValueError):
             return {}
         finally:
