--- a/brackengate/fleet/configured.py
+++ b/brackengate/fleet/configured.py
@@ -45,7 +45,9 @@
             more=told.canary_more,
         )
         store = Store(tuple(file.class_), Rollout(terms, name), told.history, told.backwards == "accept")
-        self.pools = Pools(derived.settings(file), clock, budget, observer)
+        self.pools = Pools(
+            derived.settings(file), clock, budget, observer, new_pools_warm=told.new_pools == "warm"
+        )
         self.versions = Versions(
             store, self.pools, clock, file.installation.name, slot, told.folder, int(told.save_every)
         )
--- a/brackengate/installation/schema.py
+++ b/brackengate/installation/schema.py
@@ -273,6 +273,7 @@
     canary_more: Annotated[float, Bounds(0.001, 1)] = 0.05  # more failed, as a part of all, than before
     backwards: Literal["accept", "refuse"] = "accept"  # a lower number, where versions are numbers
     client_header: Annotated[str, msgspec.Meta(pattern="^([A-Za-z0-9-]{1,64})?$")] = "X-Client"  # for splits
+    new_pools: Literal["warm", "cold"] = "warm"  # upstreams of which nothing is known
 
 
 class Xds(Section, frozen=True, kw_only=True):
@@ -288,7 +289,8 @@
     resource_timeout: Annotated[Duration, Bounds(100 * MS, 600 * S)] = Duration(15 * S)
     backoff: Annotated[Duration, Bounds(10 * MS, 60 * S)] = Duration(200 * MS)
     backoff_most: Annotated[Duration, Bounds(10 * MS, 600 * S)] = Duration(10 * S)
-    keepalive: Annotated[Duration, Bounds(S, 3600 * S)] = Duration(10 * S)
+    # gRPC servers take pings more often than every 5 minutes for abuse and end the connection, unless told.
+    keepalive: Annotated[Duration, Bounds(S, 3600 * S)] = Duration(305 * S)
 
 
 class Log(Section, frozen=True, kw_only=True):
--- a/brackengate/net/sockets.py
+++ b/brackengate/net/sockets.py
@@ -50,6 +50,7 @@
     def __init__(self, limit: int) -> None:
         self.limit = limit
         self.taken = 0
+        self.own_bound = False  # whether the last refusal was by a bound on one user alone
         self._evictors: list[Callable[[], bool]] = []
 
     def on_short(self, evict: Callable[[], bool]) -> None:
@@ -92,7 +93,8 @@
             self._whole.forget(evict)
 
     def claim(self) -> bool:
-        if not super().claim():
+        self.own_bound = not super().claim()
+        if self.own_bound:
             self.refused += 1
             return False
         if not self._whole.claim():
--- a/brackengate/net/upstream.py
+++ b/brackengate/net/upstream.py
@@ -424,7 +424,14 @@
         try:
             claimed = self._budget.claim()
             if not claimed:
-                log.warning("no socket left for a connection to %s", name)
+                level = logging.DEBUG if self._budget.own_bound else logging.WARNING
+                log.log(level, "no socket left for a connection to %s", name)
+                if self._budget.own_bound:
+                    job.dial = None
+                    job.finish(
+                        Result(Outcome.NOT_SENT)
+                    )  # a bound of ours: nothing is wrong with the upstream
+                    return
                 raise OSError("out of sockets")
             family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
             sock = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
--- a/brackengate/routing/members.py
+++ b/brackengate/routing/members.py
@@ -1,8 +1,8 @@
 """How old the upstreams of all pools are, and in what portions changes are told.  Pure.
 
-A control service says which upstreams there are, seldom since when.  What is there from an instance's first
-version on counts as warm, as with a static list; what comes later under a new address as just started, and
-keeps that age under whichever name, pool or version it stands next.
+A control service says which upstreams there are, seldom since when.  What stands in a pool's first list
+counts as warm, as with a static list (unless `versions.new_pools` says cold); what comes later under a new
+address as just started, and keeps that age under whichever name, pool or version it stands next.
 """
 
 from __future__ import annotations
@@ -15,7 +15,8 @@
 from brackengate.net.sockets import Address, parse_address
 from brackengate.snapshot.diff import Rows
 
-SLICE = 16  # rows that the decision module takes in one turn of the loop
+SLICE = 16  # rows that the decision module takes in one turn of the loop, at the most
+SLICE_WORK = 40_000  # rows of a slice times rows of the list: the module walks the list for each new row
 KEPT = (
     60_000_000  # microseconds that an address keeps its age after it has left: a flapping list is no restart
 )
@@ -92,8 +93,9 @@
                 self._pending[row.name] = row
         return urgent
 
-    def slice(self, most: int = SLICE) -> list[Listed]:
+    def slice(self, most: int = 0) -> list[Listed]:
         """The next rows, in the order in which they came; none when all are told."""
+        most = most or max(1, min(SLICE, SLICE_WORK // (len(self._told) + 1)))
         names = list(itertools.islice(self._pending, most))
         self._told.update(names)
         return [self._ages.row(self._pending.pop(name)) for name in names]
--- a/brackengate/routing/pools.py
+++ b/brackengate/routing/pools.py
@@ -154,10 +154,16 @@
         budget: SocketBudget,
         observer: Observer | None = None,
         answered: Callable[[int], None] | None = None,
+        new_pools_warm: bool = True,
     ) -> None:
-        """`answered`: hears of each answer's status, for whoever judges a version."""
+        """`answered`: hears of each answer's status, for whoever judges a version.
+
+        `new_pools_warm`: of a new pool's upstreams what nothing is known of counts as warm, else as just
+        started; a decision module whose upstreams are all cold, and that has no pace of calls to go by, uses
+        none of them for a while.
+        """
         self._base, self.clock, self._budget = base, clock, budget
-        self._observer, self.on_answer = observer, answered
+        self._observer, self.on_answer, self._warm = observer, answered, new_pools_warm
         self._loop = asyncio.get_running_loop()
         self.classes = {cls.name: cls for cls in base.classes}
         self.snapshot: Snapshot = EMPTY
@@ -256,8 +262,8 @@
         """
         now, first = self.clock.now(), self.table is None
         told = compare(self.snapshot, snapshot)
-        for name in (*told.added, *told.rebuilt):
-            self._ages.see(now, snapshot.pools[name].upstream, first)
+        for name in told.added:
+            self._ages.see(now, snapshot.pools[name].upstream, first or self._warm)
         for rows in told.rows.values():
             self._ages.see(now, (*rows.added, *rows.changed))
         renewed = set(told.rebuilt)
--- a/brackengate/routing/shadow.py
+++ b/brackengate/routing/shadow.py
@@ -28,8 +28,9 @@
 
 
 def _contradiction(route: Route, classes: Mapping[str, Idempotency]) -> str:
-    if route.class_ and route.method and not route.operation:
-        kinds = {classes[name] for name in route.class_ if name in classes}
+    known = all(name in classes for name in route.class_)
+    if route.class_ and known and route.method and not route.operation:
+        kinds = {classes[name] for name in route.class_}
         reads = {"GET"} if Idempotency.REPEATABLE in kinds else set()
         writes = {"POST"} if kinds - {Idempotency.REPEATABLE} else set()
         # By GraphQL a class that is safe comes by POST too.
--- a/brackengate/snapshot/check.py
+++ b/brackengate/snapshot/check.py
@@ -11,7 +11,7 @@
 from collections.abc import Collection
 from functools import lru_cache
 
-from brackengate.installation.schema import Pool, Route
+from brackengate.installation.schema import Pool, Route, Upstream
 from brackengate.net.sockets import parse_address
 from brackengate.snapshot.model import Snapshot
 
@@ -59,10 +59,26 @@
 def _pool(name: str, pool: Pool, found: Found) -> None:
     if not POOL.fullmatch(name):
         found.append((("pool", name), "a pool's name has 1 to 128 visible ASCII characters"))
+    known = _CHECKED.get(id(pool.upstream))
+    if known is None:
+        known = _CHECKED[id(pool.upstream)] = (pool.upstream, _rows(pool.upstream))
+        if len(_CHECKED) > MAX_CHECKED:
+            del _CHECKED[next(iter(_CHECKED))]
+    found += [(("pool", name, "upstream", *key), what) for key, what in known[1]]
+
+
+# What was found of lists that are looked at again and again, by their identity; each is kept, so no other can
+# have its identity.  Ten thousand rows take 20 ms.
+_CHECKED: dict[int, tuple[tuple[Upstream, ...], Found]] = {}
+MAX_CHECKED = 64
+
+
+def _rows(rows: tuple[Upstream, ...]) -> Found:
+    found: Found = []
     by_name: set[str] = set()
     by_address: dict[str, str] = {}
-    for i, row in enumerate(pool.upstream):
-        key: Key = ("pool", name, "upstream", i)
+    for i, row in enumerate(rows):
+        key: Key = (i,)
         if row.name in by_name:
             found.append(((*key, "name"), f"{row.name!r} stands twice"))
         by_name.add(row.name)
@@ -73,6 +89,7 @@
         if not _address_does(row.address):
             what = f"expected host:port with a numeric host, got {row.address!r}"
             found.append(((*key, "address"), what))
+    return found
 
 
 @lru_cache(1 << 16)  # the same ten thousand come again with each change of a hundred
--- a/brackengate/versions/store.py
+++ b/brackengate/versions/store.py
@@ -19,6 +19,7 @@
 from brackengate.versions.rollout import Rollout
 
 REASONS_KEPT = 32  # of one version that was turned down
+LABELS_KEPT = 8  # of one version: upstreams change more often than routes
 
 
 class State(Enum):
@@ -49,6 +50,13 @@
     state: State = State.WAITING
     applied_at: int = 0
     reasons: list[str] = field(default_factory=list)
+    labels: list[str] = field(default_factory=list)  # all that it had of late, this one last
+
+    def called(self, label: str) -> None:
+        """The source has another label for it."""
+        if not self.labels or label != self.label:
+            self.label = label
+            self.labels = [*self.labels[1 - LABELS_KEPT :], label]
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,7 +134,8 @@
                 return self._rows(known, candidate, whole, earlier)
         back = next((v for v in self.history if v.state is State.RETURNED and v.shape == shape), None)
         if back is not None:
-            back.label, back.digest, back.snapshot = candidate.label, whole, candidate.snapshot
+            back.called(candidate.label)
+            back.digest, back.snapshot = whole, candidate.snapshot
             return [Verdict(back, tuple(back.reasons)), *self._follow(candidate, earlier)]
         self._supersede()
         new = self._new(candidate, whole, shape)
@@ -144,6 +153,7 @@
         self._count += 1
         c = candidate
         new = Version(self._count, c.label, c.source, whole, shape, c.told_at, c.snapshot)
+        new.called(c.label)
         self._keep(new)
         return new
 
@@ -177,7 +187,8 @@
     def _rows(self, known: Version, candidate: Candidate, whole: str, earlier: Snapshot) -> list[Action]:
         """Nothing but upstreams differs, or only the label: the same version, which needs no judging."""
         self.counters["same"] += 1
-        known.label, known.source = candidate.label, candidate.source
+        known.called(candidate.label)
+        known.source = candidate.source
         known.digest, known.snapshot = whole, candidate.snapshot
         if known is not self._waiting:
             self._supersede()  # the source is back where it was
@@ -255,8 +266,9 @@
     def find(self, name: str) -> Version | None:
         """The latest version with this number (as "#3"), label or beginning of a digest, if it is held."""
         for version in reversed(self.history):
-            told = (f"#{version.number}", version.label)
-            if name in told or (len(name) >= 4 and version.digest.startswith(name)):
+            if name in (f"#{version.number}", *version.labels) or (
+                len(name) >= 4 and version.digest.startswith(name)
+            ):
                 return version
         return None
 
--- a/brackengate/xds/ads.py
+++ b/brackengate/xds/ads.py
@@ -124,6 +124,7 @@
         self._clusters, self._endpoints, self._routes = (self._types[kind] for kind in Kind)
         self._open = False
         self._composed: Snapshot | None = None
+        self._label = ""
         self._changed_at = 0  # when the first came of what is accepted and not composed
         self._held_since = 0
         self.counters = {
@@ -371,10 +372,11 @@
         pools |= {name: self._pool(cluster, self._endpoints.accepted) for name, cluster in warm.items()}
         snapshot = prune(make(pools, routes))
         told_at, self._changed_at = self._changed_at, 0
-        if snapshot == before:
+        label = self.label() if whole else self._label  # what is held back has no part in its name
+        if snapshot == before and label == self._label:
             return []
-        self._composed = snapshot
-        return [Offer(self.label(), snapshot, told_at)]
+        self._composed, self._label = snapshot, label
+        return [Offer(label, snapshot, told_at)]
 
     def label(self) -> str:
         """The version, where all types have the same; else each one's."""
--- a/brackengate/xds/client.py
+++ b/brackengate/xds/client.py
@@ -47,7 +47,7 @@
     incremental: bool = False
     backoff: float = 0.2
     backoff_most: float = 10.0
-    keepalive: float = 10.0
+    keepalive: float = 305.0
 
 
 def wait_before(failures: int, terms: Terms, rng: random.Random) -> float:
@@ -121,7 +121,7 @@
         pause = int(self._terms.keepalive * 1000)
         options = [
             ("grpc.keepalive_time_ms", pause),
-            ("grpc.keepalive_timeout_ms", min(pause, 5000)),
+            ("grpc.keepalive_timeout_ms", min(pause, 10_000)),
             ("grpc.keepalive_permit_without_calls", 0),
             ("grpc.http2.max_pings_without_data", 0),
             ("grpc.max_receive_message_length", MAX_MESSAGE),
--- a/tests/xds/test_resources.py
+++ b/tests/xds/test_resources.py
@@ -6,7 +6,7 @@
 import pytest
 from envoy.config.cluster.v3 import cluster_pb2
 from envoy.config.endpoint.v3 import endpoint_components_pb2
-from envoy.config.route.v3 import route_components_pb2, route_pb2
+from envoy.config.route.v3 import route_pb2
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from xdskit import CLASSES, KINDS, translated
