--- a/tests/xds/test_fleet_xds.py
+++ b/tests/xds/test_fleet_xds.py
@@ -7,12 +7,13 @@
 import signal
 import sys
 from collections import Counter
+from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any
 
 import pytest
 from fleetkit import CLASSES, ROOT, Fleet, fleet
-from test_stream import open_now, run, started
+from test_stream import clean, open_now, started
 
 from standins import http
 from standins.clients import Clients
@@ -20,6 +21,11 @@
 from standins.upstream import Shape, Upstream
 
 
+def run(work: Coroutine[Any, Any, None]) -> None:
+    """On asyncio's own loop: uvloop starts processes by fork, and gRPC's threads do not bear that."""
+    asyncio.run(asyncio.wait_for(clean(work), 60.0))
+
+
 def installation(folder: Path, rest: str, instances: int = 2) -> Path:
     path = folder / "test.toml"
     path.write_text(
--- a/tests/xds/test_stream.py
+++ b/tests/xds/test_stream.py
@@ -60,17 +60,18 @@
 
 
 def run(work: Coroutine[Any, Any, None]) -> None:
-    """On the loop that instances use.  No server may be left behind: the library would hang at the end."""
-
-    async def clean() -> None:
-        try:
-            await work
-        finally:
-            for one in open_now:
-                await (one.stop() if isinstance(one, Control) else one.close())
-            open_now.clear()
-
-    peers.run(clean(), 60.0)
+    """On the loop that instances use."""
+    peers.run(clean(work), 60.0)
+
+
+async def clean(work: Coroutine[Any, Any, None]) -> None:
+    """No server may be left behind: the library would hang at the end."""
+    try:
+        await work
+    finally:
+        for one in open_now:
+            await (one.stop() if isinstance(one, Control) else one.close())
+        open_now.clear()
 
 
 async def started(port: int = 0, made: Set | None = None) -> Control:
