Keep what may have run with its own pool; judge a version by its own answers alone

Read again, three faults showed. A keyed request that may have run in one pool could be sent on to a zone of the same name in another pool, whose upstreams know nothing of its key: words on earlier attempts now carry the pool, and such a request goes there or nowhere. What a version's going over refused in the pools before it counted against the new version: answers count by the table that they began with. A return could come about in the middle of going over: what the store decides is now carried out in turn.

--- a/benchmarks/xds.py
+++ b/benchmarks/xds.py
@@ -31,6 +31,7 @@
 from brackengate.installation import settings as derived
 from brackengate.installation.reading import loads
 from brackengate.installation.schema import Route
+from brackengate.interface import Endpoint, ListKind
 from brackengate.net.api import API, Api
 from brackengate.net.http import ANY
 from brackengate.net.node import Clock, Node
@@ -248,8 +249,7 @@
         settings = derived.settings(told)
         pool = Connections(loop, budget, settings.connect_timeout / 1e6, 60.0)
         node = Node(loop, clock, settings, Balancer(settings, 1), pool)
-        from brackengate.interface import Endpoint, ListKind
-
+        node.observer = Counters(lambda now: None)  # as instances have
         node.listed(ListKind.FULL, [(Endpoint("u"), parse_address(address))])
         return Server(loop, node, budget, [sock])
     told = loads(
--- a/brackengate/routing/pools.py
+++ b/brackengate/routing/pools.py
@@ -8,18 +8,18 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from typing import Any
 
 from brackengate.brain import Balancer
 from brackengate.installation.schema import Pool as PoolSettings
-from brackengate.interface import ListKind, Outcome, Request, Settings
-from brackengate.net.node import REFUSED, Caller, Clock, Message, Node, Reply
+from brackengate.interface import Earlier, Idempotency, ListKind, Outcome, Request, Settings
+from brackengate.net.node import FAILED, REFUSED, Caller, Clock, Message, Node, Reply
 from brackengate.net.observer import FlowWatch, Observer
 from brackengate.net.sockets import PartBudget, SocketBudget
 from brackengate.net.upstream import Pool as Connections
-from brackengate.routing.bulkhead import WORDS, Bulkhead, Reason
+from brackengate.routing.bulkhead import WORDS, Bulkhead
 from brackengate.routing.members import Ages, Telling
 from brackengate.routing.table import RouteTable, Traits
 from brackengate.snapshot.diff import Rows, compare
@@ -30,14 +30,32 @@
 REMEMBERED = 1024  # ids
 LOOK_S = 0.05  # between looks at whether a pool that leaves still holds something
 BAD = 400
+OF = "\x1f"  # between a pool's name and an upstream's; in neither
+SAFE = Idempotency.REPEATABLE
+ELSEWHERE = b"it may have run in a pool that is gone, and its key is known nowhere else\n"
 
 
 @dataclass(frozen=True, slots=True)
 class Chosen:
-    """Where a request goes: this generation of a pool, by this version of the table."""
+    """Where a request goes: this generation of a pool, by this version's table."""
 
     pool: PoolRun
-    version: str
+    table: RouteTable
+
+
+def with_pool(earlier: Earlier, pool: str) -> Earlier:
+    """Where a request may have run, with its pool: zones and keys of one pool mean nothing in another."""
+    return Earlier(replace(earlier.row, upstream=f"{pool}{OF}{earlier.row.upstream}"), earlier.sent)
+
+
+def without_pool(earlier: Earlier) -> Earlier:
+    name = earlier.row.upstream.rpartition(OF)[2]
+    return Earlier(replace(earlier.row, upstream=name), earlier.sent)
+
+
+def where_sent(earlier: Iterable[Earlier]) -> set[str]:
+    """The pools of such words; empty names where they tell none."""
+    return {one.row.upstream.rpartition(OF)[0] for one in earlier}
 
 
 class _PoolObserver:
@@ -207,11 +225,24 @@
             caller.answer(Reply(BAD, b"X-Txn has been used\n", b"text/plain"))
             return
         run = chosen.pool
+        if request.earlier:
+            sent = where_sent(request.earlier)
+            if sent != {run.name} and self.classes[request.class_name].idempotency is not SAFE:
+                # Only upstreams of the pool where it may have run know its key: there, or nowhere.
+                again = self.runs.get(next(iter(sent))) if len(sent) == 1 else None
+                if again is None:
+                    self._told(FAILED, chosen)
+                    caller.answer(Reply(FAILED, ELSEWHERE, b"text/plain", ran=request.earlier))
+                    return
+                run = again
+            request.earlier = tuple(without_pool(one) for one in request.earlier)
         reason = run.bulkhead.ask(run.telling.known(), bool(run.retired_at))
         if reason is not None:
-            self._refuse(run, reason, caller)
+            after = run.bulkhead.retry_after(reason)
+            self._told(REFUSED, chosen)
+            caller.answer(Reply(REFUSED, WORDS[reason], b"text/plain", after))
             return
-        held = self._held[name] = _Held(self, run, name, caller, self.clock.now())
+        held = self._held[name] = _Held(self, run, name, caller, self.clock.now(), chosen)
         run.node.submit(request, message, held)
 
     def gone(self, request: str, caller: Caller) -> None:
@@ -220,11 +251,6 @@
             self._forget(held)
             held.run.node.gone(request, held)
 
-    def _refuse(self, run: PoolRun, reason: Reason, caller: Caller) -> None:
-        after = run.bulkhead.retry_after(reason)
-        self._told(REFUSED)
-        caller.answer(Reply(REFUSED, WORDS[reason], b"text/plain", after))
-
     def _forget(self, held: _Held) -> None:
         if self._held.get(held.name) is held:
             del self._held[held.name]
@@ -237,8 +263,9 @@
         """Answered, and an attempt of it still runs: its id would be taken for the other's."""
         return any(run.node.in_flight(request) for run in (*self.runs.values(), *self.leaving))
 
-    def _told(self, status: int) -> None:
-        if self.on_answer is not None:
+    def _told(self, status: int, chosen: Chosen) -> None:
+        """What began under an earlier version says nothing of this one."""
+        if self.on_answer is not None and chosen.table is self.table:
             self.on_answer(status)
 
     # --- routes
@@ -248,7 +275,7 @@
         if self.table is not None:
             run = self.runs.get(self.table.pool(traits))
             if run is not None:
-                return Chosen(run, self.table.version)
+                return Chosen(run, self.table)
         self.counters["no_route"] += 1
         return None
 
@@ -277,9 +304,9 @@
         for name in (*told.added, *told.rebuilt):
             self._make(name, snapshot.pools[name])
         before, self.snapshot = self.snapshot, snapshot
-        if told.routes or self.table is None:
+        if told.routes or told.added or old or told.caps or self.table is None:
+            # Another for other pools too: by its table it is told which answers are of the present version.
             self.table = RouteTable(snapshot.routes, version)
-        self.table.version = version
         for run in old:
             log.info(
                 "pool %s (generation %d): leaves, with %d held", run.name, run.generation, run.node.held()
@@ -356,12 +383,17 @@
 class _Held:
     """One request at a pool, and the caller that its node sees."""
 
-    __slots__ = ("_pools", "began", "caller", "name", "run")
+    __slots__ = ("_chosen", "_pools", "began", "caller", "name", "run")
 
-    def __init__(self, pools: Pools, run: PoolRun, name: str, caller: Caller, began: int) -> None:
+    def __init__(
+        self, pools: Pools, run: PoolRun, name: str, caller: Caller, began: int, chosen: Chosen
+    ) -> None:
         self._pools, self.run, self.name, self.caller, self.began = pools, run, name, caller, began
+        self._chosen = chosen
 
     def answer(self, reply: Reply) -> None:
         self._pools._forget(self)
+        if reply.ran:
+            reply.ran = [with_pool(one, self.run.name) for one in reply.ran]
         self.caller.answer(reply)
-        self._pools._told(reply.status)
+        self._pools._told(reply.status, self._chosen)
--- a/brackengate/snapshot/check.py
+++ b/brackengate/snapshot/check.py
@@ -68,13 +68,16 @@
 
 
 # What was found of lists that are looked at again and again, by their identity; each is kept, so no other can
-# have its identity.  Ten thousand rows take 20 ms.
+# have its identity.  Ten thousand rows take some milliseconds.
 _CHECKED: dict[int, tuple[tuple[Upstream, ...], Found]] = {}
 MAX_CHECKED = 64
 
 
 def _rows(rows: tuple[Upstream, ...]) -> Found:
     found: Found = []
+    addresses = {row.address for row in rows}
+    if len({row.name for row in rows}) == len(addresses) == len(rows) and all(map(_address_does, addresses)):
+        return found  # as nearly always
     by_name: set[str] = set()
     by_address: dict[str, str] = {}
     for i, row in enumerate(rows):
--- a/brackengate/versions/carrier.py
+++ b/brackengate/versions/carrier.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections import deque
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any, Protocol
@@ -39,7 +40,8 @@
         self._save_every_s = save_every / 1e6
         self._loop = asyncio.get_running_loop()
         self.on_verdict: Callable[[Version, tuple[str, ...]], None] | None = None
-        self.on_apply: Callable[[], None] | None = None
+        self._todo: deque[Action] = deque()
+        self._busy = False
         self._alarm: Alarm | None = None
         self._alarm_at = 0
         self._save: Save | None = None
@@ -98,38 +100,49 @@
         }
 
     def _act(self, actions: list[Action]) -> None:
-        for action in actions:
-            match action:
-                case Apply(snapshot, version, told_at):
-                    self._target.apply(snapshot, version.label)
-                    took = self._clock.now() - told_at
-                    self.counters["late_us"] = max(self.counters["late_us"], took)
-                    log.info(
-                        "version %s (%s, %s): in use, %d ms after it was told",
-                        version.label,
-                        version.source,
-                        version.digest,
-                        took // 1000,
-                    )
-                    if self.on_apply is not None:
-                        self.on_apply()
-                case Verdict(version, reasons):
-                    if reasons:
-                        log.error(
-                            "version %s: %s: %s", version.label, version.state.value, "; ".join(reasons)
-                        )
-                    if self.on_verdict is not None:
-                        self.on_verdict(version, reasons)
-                case Save():
-                    self._save = action
-                    if self._folder and self._saving is None:
-                        self._saving = self._loop.create_task(self._write())
+        """Carry them out, after those before them.
+
+        Guards against recursion: a pool that leaves refuses what waits in it, which is an answer, which may
+        bring about a return, in the middle of going over.
+        """
+        self._todo.extend(actions)
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._todo:
+                self._carry_out(self._todo.popleft())
+        finally:
+            self._busy = False
         due = self.store.due()
         if due and (self._alarm is None or due < self._alarm_at):
             if self._alarm is not None:
                 self._alarm.cancel()
             self._alarm, self._alarm_at = Alarm(self._loop, self._clock, due, self._ring), due
 
+    def _carry_out(self, action: Action) -> None:
+        match action:
+            case Apply(snapshot, version, told_at):
+                self._target.apply(snapshot, version.label)
+                took = self._clock.now() - told_at
+                self.counters["late_us"] = max(self.counters["late_us"], took)
+                log.info(
+                    "version %s (%s, %s): in use, %d ms after it was told",
+                    version.label,
+                    version.source,
+                    version.digest,
+                    took // 1000,
+                )
+            case Verdict(version, reasons):
+                if reasons:
+                    log.error("version %s: %s: %s", version.label, version.state.value, "; ".join(reasons))
+                if self.on_verdict is not None:
+                    self.on_verdict(version, reasons)
+            case Save():
+                self._save = action
+                if self._folder and self._saving is None:
+                    self._saving = self._loop.create_task(self._write())
+
     def _ring(self) -> None:
         self._alarm = None
         self._act(self.store.tick(self._clock.now()))
--- a/brackengate/xds/resources.py
+++ b/brackengate/xds/resources.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -26,9 +26,11 @@
 from brackengate.xds.ads import Kind
 
 Faults = list[str]
+Rows = dict[tuple[str, bytes], Upstream]  # by zone and an endpoint's bytes
 OWN = "brackengate"  # the key of this program's own words in a resource's metadata
 SLICE = 250  # endpoints translated before others have a turn
 MOST_ENDPOINTS = 50_000
+MOST_CLUSTERS = 1000  # whose rows are kept
 MOST_FAULTS = 20  # of one resource
 
 TABLE: tuple[tuple[str, str, str], ...] = (
@@ -134,26 +136,25 @@
 
 
 class RowCache:
-    """Endpoints that came before, by their own bytes: of ten thousand sent again most are the same.
+    """Each cluster's endpoints of the last time, by their bytes: of those sent again most are the same.
 
     The same bytes give the same object, so what compares lists sees at once what has not changed.
     """
 
     def __init__(self) -> None:
-        self._rows: dict[tuple[str, bytes], Upstream] = {}
-
-    def get(self, zone: str, raw: bytes, make: Callable[[], Upstream | None]) -> Upstream | None:
-        row = self._rows.get((zone, raw))
-        if row is None:
-            row = make()
-            if row is not None:
-                if len(self._rows) >= 2 * MOST_ENDPOINTS:
-                    self._rows.clear()
-                self._rows[zone, raw] = row
-        return row
+        self._rows: dict[str, Rows] = {}
+
+    def of(self, cluster: str) -> Rows:
+        return self._rows.get(cluster, {})
+
+    def keep(self, cluster: str, rows: Rows) -> None:
+        self._rows.pop(cluster, None)
+        self._rows[cluster] = rows
+        if len(self._rows) > MOST_CLUSTERS:
+            del self._rows[next(iter(self._rows))]
 
     def __len__(self) -> int:
-        return len(self._rows)
+        return sum(map(len, self._rows.values()))
 
 
 # --- clusters
@@ -251,6 +252,7 @@
 ) -> Iterator[list[Upstream] | None]:
     """None now and then, and all rows last."""
     found: list[Upstream] = []
+    before, now = rows.of(out.name), Rows()
     names: set[str] = set()
     where: dict[str, str] = {}
     if sum(len(locality.lb_endpoints) for locality in told.endpoints) > MOST_ENDPOINTS:
@@ -270,9 +272,10 @@
             if count % SLICE == 0:
                 yield None
             raw = endpoint.SerializeToString(deterministic=True)
-            row = rows.get(zone, raw, lambda one=endpoint, zone=zone: _row(one, zone, out))  # type: ignore[misc]
+            row = before.get((zone, raw)) or _row(endpoint, zone, out)
             if row is None:
                 continue
+            now[zone, raw] = row
             if row.name in names:
                 out.fault(f"two endpoints have the name {row.name!r}")
             if row.address in where:
@@ -280,6 +283,7 @@
             names.add(row.name)
             where[row.address] = zone
             found.append(row)
+    rows.keep(out.name, now)
     yield found
 
 
--- a/tests/routing/test_pools.py
+++ b/tests/routing/test_pools.py
@@ -219,6 +219,75 @@
     run(work())
 
 
+KEYED = replace(peers.KEYED, deadline=LONG, aim=LONG, key_memory=LONG, key_scope=api.KeyScope.ZONE)
+
+
+def test_a_bid_that_may_have_run_goes_to_its_own_pool_or_nowhere():
+    """Both pools have a zone of the same name: a key that one knows means nothing in the other."""
+
+    async def work() -> None:
+        one, other = await two()
+        bench = Bench(replace(SETTINGS, classes=(*SETTINGS.classes, KEYED)))
+        pools = {"p": pool(one.port), "q": pool(other.port)}
+        pools = {n: Pool(upstream=(replace_zone(p.upstream[0]),)) for n, p in pools.items()}
+        bench.apply(to("p", **pools))
+        answers: list[Any] = []
+
+        class Kept:
+            def answer(self, reply: Any) -> None:
+                answers.append(reply)
+                done.set()
+
+        async def bid(txn: str, earlier: tuple[api.Earlier, ...] = ()) -> Any:
+            done.clear()
+            deadline = bench.pools.clock.now() + LONG
+            request = Request(txn, "bid", deadline, earlier=earlier)
+            chosen = bench.pools.choose(setup.Traits(class_name="bid"))
+            head = peers.request(txn, "bid", Idempotency_Key="k").partition(b"X-Remaining-Ms")[0]
+            bench.pools.submit(request, Message(head + b"Content-Length: 0\r\n", b"", route=chosen), Kept())
+            await done.wait()
+            return answers[-1]
+
+        done = asyncio.Event()
+        one.script = replies(answer(500))
+        lost = await bid("a1")
+        assert lost.status == 502 and lost.ran
+        tries = len(one.requests)
+        one.script = replies(answer(200, b"one"))
+        bench.apply(to("q", **pools))  # no route goes to p any more, but it is there
+        assert (await bid("a2", tuple(lost.ran))).body == b"one"
+        assert len(one.requests) == tries + 1 and other.requests == []
+        bench.apply(to("q", q=pools["q"]))
+        gone = await bid("a3", tuple(lost.ran))
+        assert gone.status == 502 and list(gone.ran) == list(lost.ran) and other.requests == []
+        assert (await bid("a4")).body == b"two"
+
+    run(work())
+
+
+def replace_zone(row: Upstream) -> Upstream:
+    return Upstream(name=row.name, address=row.address, zone="a", since=1)
+
+
+def test_answers_of_the_version_before_are_not_told():
+    async def work() -> None:
+        one, other = await Peer(silent).start(), await Peer(replies(answer(200, b"other"))).start()
+        bench = Bench()
+        pools = {"p": pool(one.port), "q": pool(other.port)}
+        bench.apply(to("p", **pools))
+        first, second = await bench.caller(), await bench.caller()
+        first.send("a1", "buy", ms=MS)
+        await one.got.get()
+        bench.apply(to("q", **pools))
+        reset(one.writers[0])
+        assert (await first.read())[0] == 502
+        assert bench.statuses == []
+        assert (await second.ask("a2", ms=MS))[0] == 200
+        assert bench.statuses == [200]
+
+    run(work())
+
+
 def test_a_slow_pool_takes_no_more_than_its_own():
     async def work() -> None:
         slow, fast = await Peer(silent).start(), await Peer(replies(answer(200, b"fast"))).start()
