Say what is missing where the xds extra is not installed; the table of fields on its page

An instance whose file asks for xDS ended with a traceback without grpcio; check and serve now name the extra. The operators' page has the table of fields that the translation is written by, and a test that it does.

--- a/brackengate/cli.py
+++ b/brackengate/cli.py
@@ -91,9 +91,20 @@
             queues_setup.secret(told)
         except BadFile as error:
             fail(f"the file cannot be used:\n{error}", BAD)
+    if told.versions.source == "xds":
+        from brackengate.fleet.configured import xds_setup
+
+        try:
+            xds_setup()
+        except BadFile as error:
+            fail(f"the file cannot be used:\n{error}", BAD)
     click.echo(f"{file}: good")
     click.echo(f"  {told.installation.name}: {told.fleet.instances} instances; {listeners}")
     click.echo(f"  classes: {classes}; upstreams: {told.upstreams.source}")
+    if told.versions.source == "file":
+        click.echo(f"  routes: {len(told.route)}; pools: {', '.join(told.pool)}")
+    elif told.versions.source == "xds":
+        click.echo(f"  routes and pools: by xDS from {', '.join(told.xds.servers)}")
 
 
 @main.command()
--- a/brackengate/fleet/configured.py
+++ b/brackengate/fleet/configured.py
@@ -8,6 +8,7 @@
 
 from brackengate.fleet import control
 from brackengate.installation import settings as derived
+from brackengate.installation.reading import BadFile, Fault
 from brackengate.installation.schema import File
 from brackengate.net.node import Clock
 from brackengate.net.observer import Observer
@@ -23,6 +24,16 @@
 log = logging.getLogger("brackengate")
 
 
+def xds_setup() -> Any:
+    """The package of xDS.  BadFile where its libraries are not installed: they are an extra."""
+    try:
+        from brackengate.xds import setup
+    except ImportError as error:
+        what = f'"xds" needs grpcio and xds-protos (pip install "brackengate[xds]"): {error}'
+        raise BadFile("the installation file", [Fault("versions.source", what)]) from None
+    return setup
+
+
 class Configured:
     """Pools, the version store and its source."""
 
@@ -59,9 +70,7 @@
         self._files, self._list_version = 0, 0
         self._client: Any = None
         if self._source == "xds":
-            from brackengate.xds import setup  # grpcio is an extra: only where it is used
-
-            self._client = setup.client(file, slot, clock, self.versions.offer, rng)
+            self._client = xds_setup().client(file, slot, clock, self.versions.offer, rng)
             self.versions.on_verdict = self._verdict
 
     def start(self, file: File) -> None:
--- a/tests/xds/test_fleet_xds.py
+++ b/tests/xds/test_fleet_xds.py
@@ -225,6 +225,18 @@
     run(work())
 
 
+def test_without_the_extra_it_is_said_what_is_missing(monkeypatch: pytest.MonkeyPatch) -> None:
+    from click.testing import CliRunner
+
+    from brackengate.cli import main
+
+    for name in [name for name in sys.modules if name.startswith("brackengate.xds")]:
+        monkeypatch.delitem(sys.modules, name)
+    monkeypatch.setitem(sys.modules, "grpc", None)  # as where it is not installed
+    result = CliRunner().invoke(main, ["check", str(ROOT / "examples" / "xds.toml")])
+    assert result.exit_code == 2 and 'pip install "brackengate[xds]"' in result.output
+
+
 @pytest.mark.parametrize(
     ("words", "code", "told"),
     [
--- a/tests/xds/test_resources.py
+++ b/tests/xds/test_resources.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 import msgspec
 import pytest
 from envoy.config.cluster.v3 import cluster_pb2
@@ -15,7 +17,7 @@
 from brackengate.snapshot.check import faults
 from brackengate.snapshot.model import Snapshot
 from brackengate.xds.ads import Kind
-from brackengate.xds.resources import RowCache, translate
+from brackengate.xds.resources import TABLE, RowCache, translate
 from standins.control import assignment, cluster, endpoint, metadata, route, routes
 
 
@@ -307,3 +309,9 @@
     made = cluster_pb2.Cluster(name="p")
     raw = made.SerializeToString() + b"\x10\x63"  # type = 99
     assert "type 99" in fault_of(Kind.CLUSTER, raw)
+
+
+def test_the_operators_page_has_the_table():
+    page = (Path(__file__).parent.parent.parent / "docs" / "xds.md").read_text()
+    for row in TABLE:
+        assert f"| {' | '.join(row)} |" in page
