--- a/tests/xds/test_stream.py
+++ b/tests/xds/test_stream.py
@@ -337,6 +337,34 @@
     run(work())
 
 
+def test_half_of_the_resources_and_an_old_version_again() -> None:
+    async def work() -> None:
+        one, other = await two()
+        service = await started()
+        service.only = {CDS, RDS}
+        old = service.set = Set.of("1", {"p": [at(one)]}, route("rest", "p"))
+        bench = Bench(file(service))
+        await service.answered("1", CDS)
+        await bench.until(lambda: "endpoints 'p'" in bench.configured.why_not_ready())
+        assert bench.store.in_use is None and not bench.pools.can_serve()
+        service.only = set(ORDER)
+        await service.push(old, EDS)
+        await bench.in_use("1")
+        await service.push(Set.of("2", {"p": [at(other)]}, route("rest", "p")), EDS)
+        await service.answered("2", EDS)
+        caller = await bench.caller()
+        assert (await caller.ask("a1", ms=MS))[2] == b"two"
+        # Backwards: the protocol's versions have no order, and the service's word counts.
+        await service.push(old, EDS)
+        await service.answered("1", EDS, 2)
+        assert (await caller.ask("a2", ms=MS))[2] == b"one"
+        assert bench.machine.counters["turned_down"] == 0
+        await bench.close()
+        await service.stop()
+
+    run(work())
+
+
 def test_several_services_in_their_order() -> None:
     async def work() -> None:
         one, other = await two()
