--- a/tests/routing/test_table.py
+++ b/tests/routing/test_table.py
@@ -96,6 +96,16 @@
         assert fits(one, asked)
 
 
+def test_what_is_turned_round_covers_only_its_like():
+    def route(**header) -> Route:
+        return Route(name="r", header=(HeaderMatch(name="X-A", **header),))
+
+    assert covers(route(prefix="1"), route(exact="12"))
+    assert not covers(route(prefix="1", invert=True), route(exact="12"))
+    assert not covers(route(prefix="1"), route(exact="12", invert=True))
+    assert covers(route(prefix="1", invert=True), route(prefix="1", invert=True))
+
+
 def test_shadows_are_found_and_named():
     rows = (
         Route(name="reads", prefix="/api", class_=("pregled",), pool="p"),
--- a/tests/versions/test_disk_diff.py
+++ b/tests/versions/test_disk_diff.py
@@ -31,6 +31,13 @@
         disk.unpack(WHOLE[:length], "here")
 
 
+def test_a_torn_file_is_called_so():
+    with pytest.raises(disk.Unusable, match="is torn"):
+        disk.unpack(WHOLE[:-1], "here")
+    with pytest.raises(disk.Unusable, match="is torn"):
+        disk.unpack(WHOLE.partition(b"\n")[0], "here")
+
+
 @given(st.integers(WHOLE.index(b"\n") + 1, len(WHOLE) - 1), st.integers(1, 255))
 def test_a_damaged_body_is_refused(place, change):
     raw = bytearray(WHOLE)
--- a/tests/versions/test_store.py
+++ b/tests/versions/test_store.py
@@ -240,6 +240,20 @@
     assert back.pools["q"].upstream[0].state == "draining"
 
 
+def test_a_version_on_top_of_one_that_is_judged_returns_past_both():
+    made = store(canary=1.0, canary_time=30 * S, least=5)
+    offer(made, 0, OLD, "1")
+    for _ in range(20):
+        made.answered(1, False)
+    offer(made, 2, NEW, "2")
+    offer(made, 3, make(OLD.pools, [Route(name="third", pool="q")]), "3")
+    assert made.in_use.label == "3"
+    out = []
+    while not out:
+        out = made.answered(4, True)
+    assert made.in_use.label == "1" and applied(out) == [OLD]
+
+
 def test_a_failing_time_before_is_no_reason_to_return():
     made = store(canary_instance(SHAPE, True, **TERMS), **TERMS)
     offer(made, 0, OLD, "1")
