Keep a pin against what waits, and a returned version's upstreams as last told

Reading the store again: a version that waited for its turn went into use although an operator had gone back to another and pinned it; and a return after a version that removed a pool brought that pool back with upstreams that had been told to leave. Both have tests, and the stateful one now holds them as invariants.

--- a/brackengate/versions/store.py
+++ b/brackengate/versions/store.py
@@ -144,6 +144,8 @@
             return out + self._use(now, new, new.snapshot)
         wait = self.rollout.delay(shape, bool(vanishing(earlier, new.snapshot)))
         if self.pinned is None and wait <= 0:
+            # What it goes back to, if it must, has upstreams as they are told now, too.
+            self.active = follow(self.active, earlier, new.snapshot)
             return out + self._use(now, new, new.snapshot)
         self._waiting, self._due = new, 0 if self.pinned is not None else new.told_at + wait
         self.counters["held"] += 1
@@ -175,9 +177,8 @@
         self.counters["turned_down"] += 1
         latest = self.history[-1] if self.history else None
         if latest is not None and latest.state is State.TURNED_DOWN and latest.digest == whole:
-            return [
-                Verdict(latest, tuple(latest.reasons))
-            ]  # sent again and again it must not fill the history
+            # Sent again and again it must not fill the history.
+            return [Verdict(latest, tuple(latest.reasons))]
         new = self._new(candidate, whole, shape)
         new.state, new.reasons, new.snapshot = State.TURNED_DOWN, reasons[:REASONS_KEPT], EMPTY
         if len(reasons) > REASONS_KEPT:
@@ -266,9 +267,8 @@
     def find(self, name: str) -> Version | None:
         """The latest version with this number (as "#3"), label or beginning of a digest, if it is held."""
         for version in reversed(self.history):
-            if name in (f"#{version.number}", *version.labels) or (
-                len(name) >= 4 and version.digest.startswith(name)
-            ):
+            by_digest = len(name) >= 4 and version.digest.startswith(name)
+            if by_digest or name in (f"#{version.number}", *version.labels):
                 return version
         return None
 
@@ -283,7 +283,8 @@
         if version is self._waiting:
             return f"version {version.label} is not in use yet; it waits for its turn", []
         if self._waiting is None and self.in_use is not None and self.in_use is not version:
-            self._waiting, self._due = self.in_use, 0  # what `release` goes back to
+            self._waiting = self.in_use  # what `release` goes back to
+        self._due = 0  # what waits for its turn waits for the release now
         self.pinned = version
         # Its upstreams as last told, not as they were: those that have left since must not be sent to.
         snapshot = follow(version.snapshot, EMPTY, self._latest)
--- a/tests/versions/test_store.py
+++ b/tests/versions/test_store.py
@@ -240,6 +240,32 @@
     assert back.pools["q"].upstream[0].state == "draining"
 
 
+def test_a_return_does_not_bring_back_a_pool_that_was_told_to_leave():
+    made = store(canary=1.0, canary_time=30 * S, least=5)
+    offer(made, 0, OLD, "1")
+    for _ in range(20):
+        made.answered(1, False)
+    offer(made, 2, make({"p": pool("u1")}, [Route(name="worse", pool="p")]), "2")
+    out = []
+    while not out:
+        out = made.answered(4, True)
+    (back,) = applied(out)
+    assert back.routes == OLD.routes and set(back.pools) == {"p", "q"}
+    assert [r.state for r in back.pools["q"].upstream] == ["draining"]
+
+
+def test_what_waits_for_its_turn_does_not_break_a_pin():
+    made = store(canary=0.0, jitter=400_000)
+    offer(made, 0, OLD, "1")
+    made.tick(400_000)
+    offer(made, 500_000, NEW, "2")
+    assert made.due()
+    made.rollback(500_001, "1")
+    assert made.due() == 0 and made.tick(2_000_000) == [] and made.in_use.label == "1"
+    made.release(3_000_000)
+    assert made.in_use.label == "2"
+
+
 def test_a_version_on_top_of_one_that_is_judged_returns_past_both():
     made = store(canary=1.0, canary_time=30 * S, least=5)
     offer(made, 0, OLD, "1")
@@ -339,6 +365,7 @@
         self.made = store("i3", canary=0.5, canary_time=1000, least=3, more=0.1, jitter=100)
         self.told: Snapshot | None = None
         self.applied: Snapshot | None = None
+        self.gone: set[str] = set()  # pools that were told to leave
 
     def act(self, actions) -> None:
         for action in actions:
@@ -362,6 +389,7 @@
         }
         new = make(pools, [Route(name="all", pool=routes)])
         if not faults(new, CLASSES):
+            self.gone |= set(self.told.pools if self.told else ()) - set(new.pools)
             self.told = new
         self.act(offer(self.made, self.now, new))
 
@@ -392,6 +420,11 @@
         for name, one in self.made.active.pools.items():
             if name in self.told.pools:
                 assert one.upstream == self.told.pools[name].upstream
+        assert self.made.pinned is None or self.made.in_use is self.made.pinned
+        left = {name for name in self.gone if name not in self.told.pools}
+        if self.made.pinned is None:
+            for name in left & set(self.made.active.pools):
+                assert all(r.state == "draining" for r in self.made.active.pools[name].upstream)
         assert self.made.in_use.state is State.IN_USE
         assert sum(v.state is State.IN_USE for v in self.made.history) == 1
 
