Start the benchmarks' control service in one place; no 503 among bad requests in the log

Three parts of benchmarks/xds.py started and ended the other process each for itself. A request that comes before the first version is answered 503 and is no bad request of its caller's.

--- a/benchmarks/xds.py
+++ b/benchmarks/xds.py
@@ -13,13 +13,14 @@
 
 import argparse
 import asyncio
+import contextlib
 import json
 import multiprocessing
 import random
 import resource
 import statistics
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any
 
@@ -104,6 +105,19 @@
     asyncio.run(work())
 
 
+@contextlib.contextmanager
+def control_service() -> Iterator[Any]:
+    """The other process, and a pipe to it, whose first word is its address."""
+    ours, theirs = multiprocessing.Pipe()
+    process = multiprocessing.get_context("spawn").Process(target=service, args=(theirs,))
+    process.start()
+    try:
+        yield ours
+    finally:
+        ours.send(None)
+        process.join()
+
+
 @dataclass(slots=True)
 class Stalls:
     """How long the loop stood: lateness of a call every millisecond."""
@@ -146,10 +160,7 @@
 
 
 async def push(count: int, incremental: bool, part: float) -> None:
-    ours, theirs = multiprocessing.Pipe()
-    process = multiprocessing.get_context("spawn").Process(target=service, args=(theirs,))
-    process.start()
-    try:
+    with control_service() as ours:
         bench = Bench(ours.recv(), incremental)
         loop = asyncio.get_running_loop()
 
@@ -183,16 +194,10 @@
             worst_stall_ms=round(stalls.worst * 1000, 1),
         )
         await bench.configured.close()
-    finally:
-        ours.send(None)
-        process.join()
 
 
 async def churn(count: int, seconds: int) -> None:
-    ours, theirs = multiprocessing.Pipe()
-    process = multiprocessing.get_context("spawn").Process(target=service, args=(theirs,))
-    process.start()
-    try:
+    with control_service() as ours:
         bench = Bench(ours.recv(), False)
         loop = asyncio.get_running_loop()
         ours.send((0, count, 0.01, None))
@@ -223,9 +228,6 @@
             ages=len(bench.pools._ages),
         )
         await bench.configured.close()
-    finally:
-        ours.send(None)
-        process.join()
 
 
 def many_routes(count: int) -> str:
@@ -311,10 +313,7 @@
 
 
 async def idle(seconds: float) -> None:
-    ours, theirs = multiprocessing.Pipe()
-    process = multiprocessing.get_context("spawn").Process(target=service, args=(theirs,))
-    process.start()
-    try:
+    with control_service() as ours:
         bench = Bench(ours.recv(), False)
         loop = asyncio.get_running_loop()
         ours.send((0, 100, 0.0, None))
@@ -328,9 +327,6 @@
         await asyncio.sleep(seconds)
         without = (time.process_time() - used) / seconds
         show(part="idle", with_stream=round(with_stream, 5), without=round(without, 5))
-    finally:
-        ours.send(None)
-        process.join()
 
 
 async def main(args: argparse.Namespace) -> None:
--- a/brackengate/net/http.py
+++ b/brackengate/net/http.py
@@ -379,7 +379,7 @@
                     raise arrival.bad
                 self._begin(arrival)
             except Bad as bad:
-                if bad.status != 404 and bad.status != 405:
+                if bad.status not in (404, 405, 503):
                     self._server.complain(bad)
                 self._refuse(bad)
         self._loop.call_soon(self._next)
