Keep pools that no route refers to, as long as the service has them

A pool was made only while routes referred to it, so a version that left one out of its routes read as the word for its upstreams to leave; a return to the version before then met upstreams that drained, and its requests waited for their deadline. The test of the returning canary hung by it since returns follow what was told to leave. Pools now go when their cluster goes.

--- a/brackengate/fleet/configured.py
+++ b/brackengate/fleet/configured.py
@@ -16,7 +16,7 @@
 from brackengate.routing import setup as routing
 from brackengate.routing.feed import Feed
 from brackengate.routing.pools import Pools
-from brackengate.snapshot.model import Snapshot, builtins, prune
+from brackengate.snapshot.model import Snapshot, builtins
 from brackengate.versions.carrier import Versions
 from brackengate.versions.rollout import Rollout, Terms
 from brackengate.versions.store import State, Store, Version
@@ -95,7 +95,7 @@
 
     def _offer(self) -> None:
         label = f"file {self._files}" + (f" list {self._list_version}" if self._list_version else "")
-        snapshot = prune(self.feed.lay(self._base))
+        snapshot = self.feed.lay(self._base)
         self.versions.offer(label, "file", snapshot, self._clock.now())
 
     def _verdict(self, version: Version, reasons: tuple[str, ...]) -> None:
--- a/brackengate/xds/ads.py
+++ b/brackengate/xds/ads.py
@@ -23,7 +23,7 @@
 
 from brackengate.installation.schema import Pool, Route, Upstream
 from brackengate.snapshot.check import faults, tell
-from brackengate.snapshot.model import Snapshot, make, pools_of, prune
+from brackengate.snapshot.model import Snapshot, make, pools_of
 
 if TYPE_CHECKING:
     from brackengate.xds.resources import Cluster, Translated
@@ -368,9 +368,12 @@
             return []  # nothing is served yet, so nobody is held up
         pools: dict[str, Pool] = {}
         if not whole and before is not None:
-            pools, routes = dict(before.pools), before.routes
+            routes = before.routes
+            pools = {name: before.pools[name] for name in pools_of(routes)}
+        # Also those that no route refers to: one that leaves the routes was not told to leave, and a version
+        # that is left again may need it.
         pools |= {name: self._pool(cluster, self._endpoints.accepted) for name, cluster in warm.items()}
-        snapshot = prune(make(pools, routes))
+        snapshot = make(pools, routes)
         told_at, self._changed_at = self._changed_at, 0
         label = self.label() if whole else self._label  # what is held back has no part in its name
         if snapshot == before and label == self._label:
