Decide where what may have run goes apart from the sockets; convert rows in one place

Whether a keyed request goes back to the pool of its earlier attempt or nowhere was decided in routing/pools.py, which carries out. It is in routing/earlier.py now, pure, with a test of each case. Rows of upstreams became endpoints in fleet/sources.py and in routing/members.py alike; both call installation/settings.py.

--- a/brackengate/fleet/sources.py
+++ b/brackengate/fleet/sources.py
@@ -12,14 +12,12 @@
 
 from brackengate.installation.reading import BadFile, load_upstreams
 from brackengate.installation.schema import Upstream
-from brackengate.interface import Endpoint, Lifecycle, ListKind
+from brackengate.installation.settings import listed
+from brackengate.interface import ListKind
 from brackengate.net.discovery import Listed
-from brackengate.net.sockets import parse_address
 
 log = logging.getLogger(__name__)
 
-STATES = {"serving": Lifecycle.SERVING, "draining": Lifecycle.DRAINING}
-
 
 class StaticSource:
     """Rows by hand.
@@ -40,20 +38,9 @@
         now = 0 if first else self._node.clock.now()
         self._since = {row.name: self._since.get(row.name, now) for row in rows}
         self._version += 1
-        made = [(self._endpoint(row), parse_address(row.address)) for row in rows]
+        made = [listed(row, self._since[row.name]) for row in rows]
         self._node.listed(ListKind.FULL, made, self._version)
 
-    def _endpoint(self, row: Upstream) -> Endpoint:
-        return Endpoint(
-            upstream=row.name,
-            zone=row.zone,
-            kind=row.kind,
-            cell=row.cell,
-            state=STATES[row.state],
-            weight=row.weight,
-            started_at=row.since or self._since[row.name],
-        )
-
     def watch(self, on: bool) -> None:
         """Nothing to ask: the list is pushed."""
 
--- a/brackengate/installation/settings.py
+++ b/brackengate/installation/settings.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass
 
 from brackengate import interface as api
-from brackengate.installation.schema import File
+from brackengate.installation.schema import File, Upstream
+from brackengate.net.sockets import Address, parse_address
 
 REPEATS = {
     "safe": api.Idempotency.REPEATABLE,
@@ -65,6 +66,20 @@
     return Share(file.limits.sockets // count, file.limits.memory // count // 1_000_000)
 
 
+def listed(row: Upstream, since: int) -> tuple[api.Endpoint, Address]:
+    """A row as nodes take it.  `since`: when it started, where the row does not say; 0: long ago."""
+    endpoint = api.Endpoint(
+        upstream=row.name,
+        zone=row.zone,
+        kind=row.kind,
+        cell=row.cell,
+        state=api.Lifecycle(row.state),
+        weight=row.weight,
+        started_at=row.since or since,
+    )
+    return endpoint, parse_address(row.address)
+
+
 def longest(file: File) -> int:
     """The longest deadline of any class, in microseconds."""
     return max((int(cls.deadline) for cls in file.class_.values()), default=1_000_000)
--- a/brackengate/routing/members.py
+++ b/brackengate/routing/members.py
@@ -11,8 +11,9 @@
 from collections.abc import Iterable
 
 from brackengate.installation.schema import Upstream
+from brackengate.installation.settings import listed
 from brackengate.interface import Endpoint, Lifecycle
-from brackengate.net.sockets import Address, parse_address
+from brackengate.net.sockets import Address
 from brackengate.snapshot.diff import Rows
 
 SLICE = 16  # rows that the decision module takes in one turn of the loop, at the most
@@ -20,7 +21,6 @@
 KEPT = (
     60_000_000  # microseconds that an address keeps its age after it has left: a flapping list is no restart
 )
-STATES = {"serving": Lifecycle.SERVING, "draining": Lifecycle.DRAINING}
 
 Listed = tuple[Endpoint, Address]
 
@@ -53,16 +53,7 @@
         return len(self._since)
 
     def row(self, row: Upstream) -> Listed:
-        endpoint = Endpoint(
-            upstream=row.name,
-            zone=row.zone,
-            kind=row.kind,
-            cell=row.cell,
-            state=STATES[row.state],
-            weight=row.weight,
-            started_at=row.since or self._since.get(row.address, 0),
-        )
-        return endpoint, parse_address(row.address)
+        return listed(row, self._since.get(row.address, 0))
 
 
 class Telling:
--- a/brackengate/routing/pools.py
+++ b/brackengate/routing/pools.py
@@ -8,18 +8,19 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import Any
 
 from brackengate.brain import Balancer
 from brackengate.installation.schema import Pool as PoolSettings
-from brackengate.interface import Earlier, Idempotency, ListKind, Outcome, Request, Settings
+from brackengate.interface import ListKind, Outcome, Request, Settings
 from brackengate.net.node import FAILED, REFUSED, Caller, Clock, Message, Node, Reply
 from brackengate.net.observer import FlowWatch, Observer
 from brackengate.net.sockets import PartBudget, SocketBudget
 from brackengate.net.upstream import Pool as Connections
 from brackengate.routing.bulkhead import WORDS, Bulkhead
+from brackengate.routing.earlier import goes_to, with_pool, without_pool
 from brackengate.routing.members import Ages, Telling
 from brackengate.routing.table import RouteTable, Traits
 from brackengate.snapshot.diff import Rows, compare
@@ -30,8 +31,6 @@
 REMEMBERED = 1024  # ids
 LOOK_S = 0.05  # between looks at whether a pool that leaves still holds something
 BAD = 400
-OF = "\x1f"  # between a pool's name and an upstream's; in neither
-SAFE = Idempotency.REPEATABLE
 ELSEWHERE = b"it may have run in a pool that is gone, and its key is known nowhere else\n"
 
 
@@ -43,21 +42,6 @@
     table: RouteTable
 
 
-def with_pool(earlier: Earlier, pool: str) -> Earlier:
-    """Where a request may have run, with its pool: zones and keys of one pool mean nothing in another."""
-    return Earlier(replace(earlier.row, upstream=f"{pool}{OF}{earlier.row.upstream}"), earlier.sent)
-
-
-def without_pool(earlier: Earlier) -> Earlier:
-    name = earlier.row.upstream.rpartition(OF)[2]
-    return Earlier(replace(earlier.row, upstream=name), earlier.sent)
-
-
-def where_sent(earlier: Iterable[Earlier]) -> set[str]:
-    """The pools of such words; empty names where they tell none."""
-    return {one.row.upstream.rpartition(OF)[0] for one in earlier}
-
-
 class _PoolObserver:
     """For one pool's node: what it tells goes straight on, but whether it serves is a matter of all pools."""
 
@@ -226,15 +210,13 @@
             return
         run = chosen.pool
         if request.earlier:
-            sent = where_sent(request.earlier)
-            if sent != {run.name} and self.classes[request.class_name].idempotency is not SAFE:
-                # Only upstreams of the pool where it may have run know its key: there, or nowhere.
-                again = self.runs.get(next(iter(sent))) if len(sent) == 1 else None
-                if again is None:
-                    self._told(FAILED, chosen)
-                    caller.answer(Reply(FAILED, ELSEWHERE, b"text/plain", ran=request.earlier))
-                    return
-                run = again
+            kind = self.classes[request.class_name].idempotency
+            pool = goes_to(run.name, request.earlier, kind, self.runs)
+            if not pool:
+                self._told(FAILED, chosen)
+                caller.answer(Reply(FAILED, ELSEWHERE, b"text/plain", ran=request.earlier))
+                return
+            run = run if pool == run.name else self.runs[pool]
             request.earlier = tuple(without_pool(one) for one in request.earlier)
         reason = run.bulkhead.ask(run.telling.known(), bool(run.retired_at))
         if reason is not None:
--- a/tests/routing/test_bulkhead_members.py
+++ b/tests/routing/test_bulkhead_members.py
@@ -6,8 +6,9 @@
 from hypothesis import strategies as st
 
 from brackengate.installation.schema import Upstream
-from brackengate.interface import Lifecycle
+from brackengate.interface import Earlier, Endpoint, Idempotency, Lifecycle
 from brackengate.routing.bulkhead import Bulkhead, Reason
+from brackengate.routing.earlier import goes_to, with_pool, without_pool
 from brackengate.routing.members import KEPT, SLICE, Ages, Telling
 from brackengate.snapshot.diff import Rows
 
@@ -132,3 +133,17 @@
     while not telling.done():
         told(telling.slice())
     assert module == {name: r.state for name, r in latest.items()}
+
+
+def test_what_may_have_run_goes_to_its_own_pool_or_nowhere():
+    word = Earlier(Endpoint("u1", zone="a"), 5)
+    ran_in_p, ran_in_q = with_pool(word, "p"), with_pool(word, "q")
+    assert without_pool(ran_in_p) == word
+    for kind in (Idempotency.KEYED, Idempotency.UNSAFE):
+        assert goes_to("p", (), kind, {"p"}) == "p"
+        assert goes_to("p", (ran_in_p,), kind, {"p", "q"}) == "p"
+        assert goes_to("p", (ran_in_q,), kind, {"p", "q"}) == "q"
+        assert goes_to("p", (ran_in_q,), kind, {"p"}) == ""
+        assert goes_to("p", (ran_in_p, ran_in_q), kind, {"p", "q"}) == ""
+        assert goes_to("p", (Earlier.somewhere(5),), kind, {"p"}) == ""  # it is not known where
+    assert goes_to("p", (ran_in_q,), Idempotency.REPEATABLE, {"p"}) == "p"
