--- a/benchmarks/xds.py
+++ b/benchmarks/xds.py
@@ -4,6 +4,7 @@
     python -m benchmarks.xds --part churn     # 10,000 endpoints, 1 % changed a second, for a minute
     python -m benchmarks.xds --part routes    # a request's cost with one node, 1 and 1,000 routes, by turns
     python -m benchmarks.xds --part look-up   # the table alone
+    python -m benchmarks.xds --part list      # the decision module alone, told a whole list
     python -m benchmarks.xds --part idle      # processor time of a stream on which nothing comes
 
 The control service runs in a process of its own, so that its work is not counted.  One JSON line a row.
@@ -32,7 +33,7 @@
 from brackengate.installation import settings as derived
 from brackengate.installation.reading import loads
 from brackengate.installation.schema import Route
-from brackengate.interface import Endpoint, ListKind
+from brackengate.interface import Endpoint, ListKind, Settings, UpstreamList
 from brackengate.net.api import API, Api
 from brackengate.net.http import ANY
 from brackengate.net.node import Clock, Node
@@ -312,6 +313,17 @@
     show(part="look-up", routes=count, microseconds=round(best * 1000, 2))
 
 
+def whole_list(count: int, cold: bool) -> None:
+    rows = tuple(Endpoint(f"u{n}", started_at=1_000_000_000 if cold else 0) for n in range(count))
+    best = float("inf")
+    for _ in range(3):
+        module = Balancer(Settings(classes=()), 1)
+        began = time.perf_counter()
+        module.handle(1_000_001_000, UpstreamList(ListKind.FULL, rows))
+        best = min(best, time.perf_counter() - began)
+    show(part="list", upstreams=count, cold=cold, milliseconds=round(best * 1000, 1))
+
+
 async def idle(seconds: float) -> None:
     with control_service() as ours:
         bench = Bench(ours.recv(), False)
@@ -341,6 +353,10 @@
     if args.part in ("look-up", "all"):
         for count in (1, 10, 100, 1000, 10_000):
             look_up(count)
+    if args.part in ("list", "all"):
+        for cold in (False, True):
+            for count in (16, 256, 1024, 4096, 10_000):
+                whole_list(count, cold)
     if args.part in ("idle", "all"):
         await idle(10.0)
 
@@ -350,7 +366,7 @@
         description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
     )
     parser.add_argument(
-        "--part", choices=["push", "churn", "routes", "look-up", "idle", "all"], default="all"
+        "--part", choices=["push", "churn", "routes", "look-up", "list", "idle", "all"], default="all"
     )
     parser.add_argument("--seconds", type=int, default=60, help="Of the churn.")
     uvloop.run(main(parser.parse_args()))
