Begin a long body's attempt when it is whole or there is no more room for it

Seen: slow uploads chose their upstream seconds before their last byte, and could not go again after 256 KiB. Now a body may run ahead by an eighth of what is left of the process's bound; only then is it handed on open.

--- a/brackengate/net/body.py
+++ b/brackengate/net/body.py
@@ -12,8 +12,8 @@
 from typing import Protocol
 
 WHOLE = 64 << 10  # up to here a body is read whole before it is passed on
-AHEAD = 256 << 10  # what one stream may hold while the process has room
-FLOOR = 16 << 10  # what each may hold in any case, so that none stands still for want of room
+PART = 8  # one stream may hold this part of the room that is left
+FLOOR = 16 << 10  # and this much in any case, so that none stands still for want of room
 LEAST_RATE = 32 << 10  # bytes a second: a body that comes slower in the long run is given up
 HEAD_START_S = 3.0  # before that counts
 
@@ -21,16 +21,17 @@
 class ByteBudget:
     """What all streams of a process hold together.
 
-    A bound on running ahead, not a gate: over it each stream still holds FLOOR and the piece just read.
+    Each may hold a part of what is left, so a few get much, many get little, and the sum stays under the
+    limit (dynamic thresholds: Choudhury and Hahne, 1998).  Beyond it each has FLOOR and the piece just read.
     """
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
         self.taken = self.most = 0
 
-    @property
-    def short(self) -> bool:
-        return self.taken >= self.limit
+    def share(self) -> int:
+        """What one stream may hold now."""
+        return max(FLOOR, (self.limit - self.taken) // PART)
 
     def take(self, count: int) -> None:
         self.taken += count
@@ -43,7 +44,7 @@
 class Body:
     """A request's body: pieces in from the caller, out to one attempt at a time.
 
-    Sent pieces are kept for another attempt until more than AHEAD is held, or the process is short of room.
+    Sent pieces are kept for another attempt for as long as its share of the room holds them.
     """
 
     def __init__(self, budget: ByteBudget, length: int | None, resume: Callable[[], None]) -> None:
@@ -141,14 +142,14 @@
     # --- inside
 
     def _room(self) -> bool:
-        return self._unsent < (FLOOR if self._budget.short else AHEAD)
+        return self._unsent < self._budget.share()
 
     def _trim(self) -> None:
         """Let go of what was sent, where too much is held.
 
         The piece taken last may still be in a transport.
         """
-        while self._sent - self._gone > 1 and (self._held > AHEAD or self._budget.short):
+        while self._sent - self._gone > 1 and self._held > self._budget.share():
             piece = self._pieces.popleft()
             self._gone += 1
             self._held -= len(piece)
--- a/brackengate/net/http.py
+++ b/brackengate/net/http.py
@@ -175,6 +175,7 @@
         self.served = 0
         self._incoming: Arrival | None = None  # whose body is coming in pieces
         self._out: _Outgoing | None = None  # the long answer that is being passed on
+        self._handed_on = False  # it waits, is served or has been
         self._held_back = False  # the body's reader can't take more now
         self._body_at = self._paused_at = self._paused_s = 0.0  # for how fast a body comes
         self._most_body = MAX_BODY
@@ -409,10 +410,7 @@
             self._open(length)
         for (_, value), name in zip(self._headers, names, strict=True):
             waits = name == b"expect" and value.lower() == b"100-continue"
-            ours = (
-                self._waiting == deque([self._incoming]) if self._incoming is not None else not self._waiting
-            )
-            first = self._current is None and ours  # else it would go out amid other answers
+            first = self._current is None and not self._waiting  # else it would go out amid other answers
             if waits and first and self._transport is not None:
                 self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -431,7 +429,10 @@
             self._take(data)
 
     def _open(self, length: int | None) -> None:
-        """A body too long to be read whole first: its request goes on now."""
+        """A body too long to be read whole first: its request goes on when it is whole or there is no room.
+
+        An attempt that begins later is chosen better, and can go again for longer.
+        """
         self._incoming = Arrival(
             self._parser.get_method(),
             self._target,
@@ -442,12 +443,18 @@
             stream=Body(self._server.bytes, length, self._go_on),
             version=self._parser.get_http_version(),
         )
-        self._waiting.append(self._incoming)
+        self._handed_on = False
+
+    def _hand_on(self, incoming: Arrival) -> None:
+        if not self._handed_on:
+            self._handed_on = True
+            self._waiting.append(incoming)
 
     def _take(self, data: bytes) -> None:
         assert self._incoming is not None and self._incoming.stream is not None
         if not self._incoming.stream.feed(data) and not self._held_back:
             self._held_back, self._paused_at = True, self._loop.time()
+            self._hand_on(self._incoming)
             if self._transport is not None:
                 self._transport.pause_reading()
 
@@ -465,6 +472,9 @@
             self._reset()
             self._moved = True
             incoming.keep_alive = keep_alive
+            if incoming is not self._current:  # its time counts from here; one that is served hears it itself
+                incoming.at = self._clock.now()
+            self._hand_on(incoming)
             incoming.stream.end()
             return
         arrival = Arrival(
@@ -499,8 +509,9 @@
                 incoming.stream.cut_off()
                 self._server.complain(bad)
                 self._refuse(bad)
-            elif incoming in self._waiting:
+            else:
                 incoming.stream.cut_off()
+                self._hand_on(incoming)
             return
         self._waiting.append(Arrival(b"", b"", [], b"", False, self._clock.now(), bad))
 
@@ -510,6 +521,8 @@
             if self._current is not None or not self._waiting or self._last or self._full:
                 return
             self._current = arrival = self._waiting.popleft()
+            if arrival.stream is not None and not arrival.stream.whole:
+                arrival.at = self._clock.now()  # as if it ended now: the node counts anew from its end
             self._read_on()
             try:
                 if arrival.bad is not None:
