--- a/brackengate/net/body.py
+++ b/brackengate/net/body.py
@@ -44,7 +44,8 @@
 class Body:
     """A request's body: pieces in from the caller, out to one attempt at a time.
 
-    Sent pieces are kept for another attempt for as long as its share of the room holds them.
+    Half of its share may wait to be sent.  Sent pieces are kept for another attempt for as long as the whole
+    share holds them.
     """
 
     def __init__(self, budget: ByteBudget, length: int | None, resume: Callable[[], None]) -> None:
@@ -142,7 +143,7 @@
     # --- inside
 
     def _room(self) -> bool:
-        return self._unsent < self._budget.share()
+        return self._unsent < max(FLOOR, self._budget.share() // 2)  # the other half is for what was sent
 
     def _trim(self) -> None:
         """Let go of what was sent, where too much is held.
--- a/brackengate/net/http.py
+++ b/brackengate/net/http.py
@@ -169,6 +169,7 @@
         self._rest = b""  # read, not parsed
         self._deaf = False  # what came cannot be read; nor can what follows
         self.opened = self.since = self._loop.time()  # `since`: the last answer
+        self.heard = self.opened  # when something last came
         self.began = 0.0  # the first byte of the request that is being read: later ones do not renew it
         self._raw = 0  # bytes since the head's start or the last part of a body
         self._moved = False  # whether a piece brought a part of a body or an end
@@ -208,6 +209,12 @@
         """Nothing has come on it yet."""
         return self.idle and not self.served
 
+    @property
+    def unfinished(self) -> bool:
+        """A head has begun, and there is nothing else to it."""
+        waits = self._current or self._waiting or self._in_body or self._last
+        return self._partial and not waits
+
     @property
     def leaving(self) -> bool:
         """It has had its last answer, and only waits for its caller to read that."""
@@ -255,6 +262,7 @@
     def data_received(self, data: bytes) -> None:
         if self._flow is not None:
             self._flow.received(len(data))
+        self.heard = self._loop.time()
         self._rest += data
         self._parse()
 
--- a/brackengate/net/server.py
+++ b/brackengate/net/server.py
@@ -31,6 +31,7 @@
 LAST_CALL_S = 0.45  # after SIGTERM, connections go on coming for up to 0.4 s
 DRAIN_FRESH_S = 0.25  # when leaving, the same
 DRAIN_SILENT_S = 1.0  # while clients are sent away, a connection from its start to its first byte
+STUCK_S = 0.5  # a head that brings nothing for this long makes room for others, where room is short
 FRESH_S = 0.1  # a connection this young gets the time to send its first request
 
 
@@ -214,14 +215,22 @@
 
     def _evict(self) -> bool:
         """Make room: a silent caller goes first, then one that has had its last answer, then the one that
-        has been idle longest, whose next request takes a new connection."""
+        has been idle longest, whose next request takes a new connection.
+
+        If there is none, the head that has stood still longest.  Guards against a crowd that begins requests
+        and never ends them: those who write slowly, but do write, must still come in beside it.
+        """
         now = self.loop.time()
         can_go = [c for c in self._connections if (c.idle or c.leaving) and now - c.since > FRESH_S]
-        if not can_go:
-            return False
-        oldest = min(can_go, key=lambda c: (not c.silent, not c.leaving, c.since))
+        if can_go:
+            oldest = min(can_go, key=lambda c: (not c.silent, not c.leaving, c.since))
+        else:
+            stuck = [c for c in self._connections if c.unfinished and now - c.heard > STUCK_S]
+            if not stuck:
+                return False
+            oldest = min(stuck, key=lambda c: c.heard)
         self.lost(oldest)
-        oldest.close(at_once=oldest.leaving)
+        oldest.close(at_once=oldest.leaving or oldest.unfinished)
         return True
 
     def _sweep(self) -> None:
--- a/tests/fleet/test_lifecycle.py
+++ b/tests/fleet/test_lifecycle.py
@@ -97,12 +97,82 @@
     assert made.handle(life.Drained(held=2)) == [life.Leave(life.EXIT_UNANSWERED)]
 
 
+def test_a_drain_by_call_sends_clients_away_and_ends_by_call() -> None:
+    made = ready()
+    assert made.ready
+    assert life.AskToGo(True) in made.handle(life.DrainOn())
+    assert made.state is State.AWAY and not made.ready and made.asks_to_go
+    assert made.why_not == "drained by a call"
+    assert made.handle(life.DrainOn()) == []  # twice is once
+    assert life.AskToGo(False) in made.handle(life.DrainOff())
+    assert made.state is State.READY and made.ready
+    assert made.handle(life.DrainOff()) == []  # off without on
+
+
+def test_a_drain_outlasts_a_reload_and_one_in_the_middle_of_it_counts() -> None:
+    made = ready()
+    made.handle(life.DrainOn())
+    made.handle(life.ReloadAsked(1))
+    assert not made.ready
+    made.handle(life.Reloaded("done"))
+    assert made.state is State.AWAY and not made.ready
+    made.handle(life.ReloadAsked(2))
+    made.handle(life.DrainOff())
+    assert made.state is State.RELOADING and made.ready
+    made.handle(life.Reloaded("done"))
+    assert made.state is State.READY
+
+
+def test_a_drain_before_it_is_ready_is_not_forgotten() -> None:
+    made = Lifecycle()
+    made.handle(life.DrainOn())
+    made.handle(life.Listening())
+    assert life.Open() in made.handle(life.Serving(True))  # what comes is still served
+    assert made.state is State.AWAY and not made.ready
+
+
+def test_sigterm_during_a_drain_leaves_as_ever_and_no_call_undoes_it() -> None:
+    made = ready()
+    made.handle(life.DrainOn())
+    assert made.handle(life.StopAsked())[-1] == life.Drain(last_call=True)
+    assert made.handle(life.DrainOff()) == []
+    assert made.state is State.DRAINING and made.asks_to_go and not made.ready
+    assert made.why_not == "leaving"
+
+
+def test_a_successor_takes_over_and_what_it_leaves_is_taken_back() -> None:
+    made = ready()
+    told = made.handle(life.Successor(True))
+    assert life.AskToGo(True) in told and life.Accept(False) in told
+    assert made.state is State.REPLACED
+    assert made.ready  # the balancer serves, whichever process was asked
+    told = made.handle(life.Successor(False))  # it died
+    assert life.AskToGo(False) in told and life.Accept(True) in told
+    assert made.state is State.READY
+    made.handle(life.Successor(True))
+    assert made.handle(life.StopAsked())[-1] == life.Drain(last_call=False)
+    assert made.ready
+
+
+def test_a_drain_and_a_successor_do_not_forget_each_other() -> None:
+    made = ready()
+    made.handle(life.DrainOn())
+    told = made.handle(life.Successor(True))
+    assert life.Accept(False) in told and not any(isinstance(a, life.AskToGo) for a in told)
+    assert made.state is State.REPLACED and not made.ready
+    assert not any(isinstance(a, life.AskToGo) for a in made.handle(life.Successor(False)))
+    assert made.state is State.AWAY
+
+
 EVENTS = st.one_of(
     st.just(life.Listening()),
     st.builds(life.Serving, st.booleans()),
     st.just(life.Waited()),
     st.just(life.ReloadAsked(1)),
     st.just(life.Reloaded("x")),
+    st.just(life.DrainOn()),
+    st.just(life.DrainOff()),
+    st.builds(life.Successor, st.booleans()),
     st.builds(life.StopAsked, st.booleans()),
     st.just(life.Drained()),
 )
@@ -123,3 +193,34 @@
     assert sum(isinstance(a, life.Leave) for a in out) <= 1
     if any(isinstance(a, life.Leave) for a in out):
         assert any(isinstance(a, life.Drain) for a in out)
+
+
+@given(st.lists(EVENTS, max_size=40), st.booleans())
+def test_in_any_order_what_it_says_fits_what_it_has_ordered(events: list[life.Event], alone: bool) -> None:
+    """Whoever is asked to go is never welcome here, but for the word on a successor; nothing is accepted
+    after leaving began, or while another accepts."""
+    made, asks, accepts, successor, drained = Lifecycle(alone), False, True, False, False
+    for event in events:
+        leaving = made.state in (State.DRAINING, State.STOPPED)
+        for action in made.handle(event):
+            match action:
+                case life.AskToGo(on):
+                    assert on is not asks
+                    asks = on
+                case life.Accept(on):
+                    accepts = on
+                    assert not leaving
+        if not leaving and made.state is not State.DRAINING:
+            match event:
+                case life.Successor(there):
+                    successor = there
+                case life.DrainOn():
+                    drained = True
+                case life.DrainOff():
+                    drained = False
+            assert asks is (successor or drained)
+            assert not made.open or accepts is not successor
+        if drained:
+            assert not made.ready
+        if made.ready and asks:
+            assert successor
--- a/tests/net/peers.py
+++ b/tests/net/peers.py
@@ -14,6 +14,7 @@
 
 from brackengate import interface as api
 from brackengate.brain import Balancer
+from brackengate.net.body import ByteBudget
 from brackengate.net.crowd import Crowd
 from brackengate.net.http import Door, Front
 from brackengate.net.node import Clock, Node
@@ -137,11 +138,13 @@
         fronts: Callable[[Node], dict[bytes, Front]] = lambda node: {},
         door: Callable[[Node], Door] | None = None,
         crowd: Crowd | None = None,
+        bytes_: int = 16 << 20,
     ) -> None:
         loop = asyncio.get_running_loop()
         self.clock = Clock()
         self.budget = SocketBudget(sockets)
-        self.pool = Pool(loop, self.budget, connect_timeout_s, idle_close_s)
+        self.bytes = ByteBudget(bytes_)
+        self.pool = Pool(loop, self.budget, connect_timeout_s, idle_close_s, self.bytes)
         chosen = module if module is not None else Balancer(settings, 1)
         self.node = Node(loop, self.clock, settings, chosen, self.pool)
         self.server = Server(
@@ -153,6 +156,7 @@
             fronts(self.node),
             door(self.node) if door else None,
             crowd,
+            bytes_=self.bytes,
         )
         self.port = self.server.start()[0]
 
@@ -185,6 +189,13 @@
         self.send(*args, **kwargs)
         return await self.read()
 
+    async def gone(self) -> bool:
+        """Whether it was closed or reset."""
+        try:
+            return await self.reader.read() == b""
+        except ConnectionError:
+            return True
+
     async def ended(self) -> bool:
         """Whether nothing more comes."""
         return await self.reader.read() == b""
--- a/tests/net/test_callers.py
+++ b/tests/net/test_callers.py
@@ -441,3 +441,58 @@
         assert (await again.ask("a9"))[0] == 200
 
     run(main())
+
+
+def test_heads_that_stand_still_make_room_and_one_that_is_still_written_does_not(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A crowd that begins requests and never ends them: a slow writer and a new caller both come through."""
+    monkeypatch.setattr(server_module, "STUCK_S", 0.2)
+
+    async def main() -> None:
+        upstream = await Peer(replies(answer())).start()
+        bench = Bench(send_once(), sockets=20)  # twelve for callers
+        bench.list(upstream.port)
+        slow = await bench.caller()
+        data = request("slow1")
+        slow.writer.write(data[:10])
+        crowd = [await bench.caller() for _ in range(11)]
+        for stuck in crowd:
+            stuck.writer.write(b"GET /api HTTP/1.1\r\nX-")
+        for number in range(10):
+            await asyncio.sleep(0.05)
+            slow.writer.write(data[10 + number * 5 : 15 + number * 5])
+        fresh = await bench.caller()
+        fresh.send("fresh1")
+        assert (await fresh.read())[0] == 200
+        slow.writer.write(data[60:])
+        assert (await slow.read())[0] == 200
+        assert bench.server.connections() <= 13
+        assert sum([await stuck.gone() for stuck in crowd[:1]]) == 1  # the one that stood still longest
+
+    run(main())
+
+
+def test_a_connection_with_unread_bytes_is_not_closed_as_idle() -> None:
+    """The close would reset a request that lies in the kernel: it is served, and told that it is the last."""
+
+    async def main() -> None:
+        upstream = await Peer(replies(answer())).start()
+        bench = Bench(send_once())
+        bench.list(upstream.port)
+        caller, idle = await bench.caller(), await bench.caller()
+        for number, one in enumerate((caller, idle)):
+            assert (await one.ask(f"a{number}"))[0] == 200
+        bench.server.ask_to_go(True)
+        bench.server._asked_at -= server_module.NOTICE_S  # the front has had its time
+        raw = caller.writer.get_extra_info("socket")
+        assert raw.fileno() >= 0
+        caller.send("b1")
+        bench.server._close_idle(0.0)  # in the same turn of the loop: nothing was read yet
+        status, headers, _ = await caller.read()
+        assert (status, headers["connection"]) == (200, "close")
+        assert await idle.ended()
+        bench.server.ask_to_go(False)
+        assert (await (await bench.caller()).ask("c1"))[1].get("connection") is None
+
+    run(main())
