--- a/brackengate/net/upstream.py
+++ b/brackengate/net/upstream.py
@@ -232,6 +232,11 @@
         job, transport = self._job, self._transport
         if job is None or transport is None or self.written:
             return
+        if job.body is None:  # as nearly always: all of it was written at once
+            if transport.get_write_buffer_size() == 0 and not transport.is_closing():
+                self.written = True
+                job.wrote()
+            return
         while not transport.is_closing() and transport.get_write_buffer_size() == 0:
             piece = self._next_piece(job.body)
             if piece is None:
@@ -242,9 +247,9 @@
                 return
             self._write(piece)
 
-    def _next_piece(self, body: Body | None) -> bytes | None:
+    def _next_piece(self, body: Body) -> bytes | None:
         """In its framing; empty: nothing follows; None: not there yet."""
-        if body is None or self._sent_all:
+        if self._sent_all:
             return b""
         self.moved_at = self.pool.now()
         if body.over:
@@ -484,6 +489,9 @@
 
     def _complete(self, result: Result) -> None:
         job, self._job, self._finished = self._job, None, None
+        self._hold_back(
+            False
+        )  # the caller may not have taken the last piece yet; the next answer is another's
         self._headers = []
         self._let_go()
         self.settles = job is None or not job.probe
--- a/tests/net/test_bodies.py
+++ b/tests/net/test_bodies.py
@@ -220,6 +220,31 @@
     run(main())
 
 
+def test_a_second_long_answer_comes_on_the_same_connections() -> None:
+    """A reader that was slow to the last must not leave the upstream's connection held back."""
+
+    async def main() -> None:
+        data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (8 << 20) + BLOCK * 8
+        upstream = await Peer(replies(data)).start()
+        bench = Bench()
+        bench.list(upstream.port)
+        caller = await bench.caller()
+        for number in range(3):
+            caller.send(f"a{number}")
+            reader = Reader(caller.reader)
+            await reader.head()
+            while bench.node.out():  # all of it lies between the balancer and us
+                if reader.size < 7 << 20:
+                    await reader._take(1 << 16)
+                else:
+                    await asyncio.sleep(0.001)
+            await reader._take((8 << 20) - reader.size)
+            await asyncio.sleep(0.01)  # past the time in which a used connection settles
+        assert upstream.connections == 1
+
+    run(main())
+
+
 def test_a_caller_of_http_1_0_has_a_long_answer_in_chunks_till_the_end() -> None:
     async def main() -> None:
         data = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(BLOCK) + b"0\r\n\r\n"
