--- a/brackengate/cli.py
+++ b/brackengate/cli.py
@@ -17,6 +17,7 @@
 
 import click
 
+from brackengate.cli_cells import cells
 from brackengate.cli_common import (
     BAD,
     FAILED,
@@ -63,6 +64,7 @@
 
 main.add_command(routes)
 main.add_command(config)
+main.add_command(cells)
 
 
 @main.command()
--- a/brackengate/fleet/configured.py
+++ b/brackengate/fleet/configured.py
@@ -6,6 +6,8 @@
 import random
 from typing import Any
 
+from brackengate.cells import setup as cells
+from brackengate.cells.keeper import Keeper
 from brackengate.fleet import control
 from brackengate.installation import settings as derived
 from brackengate.installation.reading import BadFile, Fault
@@ -15,8 +17,8 @@
 from brackengate.net.sockets import SocketBudget
 from brackengate.routing import setup as routing
 from brackengate.routing.feed import Feed
-from brackengate.routing.pools import Pools
-from brackengate.snapshot.model import Snapshot, builtins
+from brackengate.routing.pools import CellTerms, Pools
+from brackengate.snapshot.model import Snapshot, builtins, make
 from brackengate.versions.carrier import Versions
 from brackengate.versions.rollout import Rollout, Terms
 from brackengate.versions.store import State, Store, Version
@@ -55,7 +57,15 @@
             least=told.canary_least,
             more=told.canary_more,
         )
-        store = Store(tuple(file.class_), Rollout(terms, name), told.history, told.backwards == "accept")
+        self._terms = cells.terms(file)
+        self._keeper: Keeper | None = None
+        store = Store(
+            tuple(file.class_),
+            Rollout(terms, name),
+            told.history,
+            told.backwards == "accept",
+            lambda now, old, new: cells.change(now, old, new, self._terms),
+        )
         self.pools = Pools(
             derived.settings(file), clock, budget, observer, new_pools_warm=told.new_pools == "warm"
         )
@@ -67,6 +77,12 @@
         self.feed = Feed(clock, self._listed)
         self._clock = clock
         self._base: Snapshot = routing.snapshot(file)
+        if file.cells.file:
+            every_s = file.cells.check_every / 1e6
+            self._keeper = keeper = Keeper(file.cells.file, every_s, clock, self._cells_read)
+            self.pools.cells = CellTerms(
+                file.cells.by, self._terms, lambda: keeper.confirmed, lambda: keeper.epoch
+            )
         self._files, self._list_version = 0, 0
         self._client: Any = None
         if self._source == "xds":
@@ -75,6 +91,8 @@
 
     def start(self, file: File) -> None:
         """Begin: with what was last good where the source may be out of reach, with the file itself else."""
+        if self._keeper is not None:
+            self._keeper.start()
         if self._source == "file":
             self.read(file)
             return
@@ -95,15 +113,27 @@
 
     def _offer(self) -> None:
         label = f"file {self._files}" + (f" list {self._list_version}" if self._list_version else "")
+        if self._keeper is not None:
+            if self._keeper.told is None:
+                return  # without a map nobody may be sent anywhere
+            self._base = make(self._base.pools, self._base.routes, self._keeper.told)
+            label += f" cells {self._keeper.epoch}"
         snapshot = self.feed.lay(self._base)
         self.versions.offer(label, "file", snapshot, self._clock.now())
 
+    def _cells_read(self) -> None:
+        """A map that was not there before."""
+        if self._files:
+            self._offer()
+
     def _verdict(self, version: Version, reasons: tuple[str, ...]) -> None:
         """What was taken is acknowledged already; that a version was left again is told late."""
         if version.state is State.RETURNED and version.source.startswith("xds"):
             self._client.returned(reasons)
 
     async def close(self) -> None:
+        if self._keeper is not None:
+            self._keeper.close()
         if self._client is not None:
             await self._client.close()
         await self.versions.close()
@@ -114,6 +144,8 @@
     def why_not_ready(self) -> str:
         """What is still to come before anything can be served; empty where nothing is."""
         if self.pools.table is None:
+            if self._keeper is not None and self._keeper.told is None:
+                return f"no map of cells: {self._keeper.why}"
             if self._client is None:
                 return "no version was taken"
             told = self._client.status()
@@ -151,4 +183,6 @@
         }
         if self._client is not None:
             told["xds"] = self._client.status()
+        if self._keeper is not None:
+            told["cells"] = self._keeper.status()
         return told
--- a/brackengate/fleet/instance.py
+++ b/brackengate/fleet/instance.py
@@ -118,7 +118,9 @@
         if client_of is not None:
             self._repeats, self._journal = repeats.door(file, door, self.node.clock, self._loop, told.slot)
             outer = self._repeats
-        fronts: dict[bytes, Front] = {API: Api(self.node, client_of, origin_of, route_of)}
+        fronts: dict[bytes, Front] = {
+            API: Api(self.node, client_of, origin_of, route_of, bool(file.cells.file))
+        }
         if route_of is not None:
             fronts[ANY] = fronts[API]  # routes say which paths there are
         self._graphql: dict[str, Any] = {}
--- a/brackengate/installation/reading.py
+++ b/brackengate/installation/reading.py
@@ -16,6 +16,7 @@
 from brackengate.installation.schema import (
     SHORTHAND,
     Bounds,
+    CellMap,
     File,
     Graphql,
     GraphqlField,
@@ -93,6 +94,17 @@
     return file
 
 
+def load_cells(path: str | Path) -> CellMap:
+    """Read a map of cells; BadFile on any fault of its form.  Its pools are checked where they are known."""
+    name, text = str(path), read_text(path)
+    found: list[tuple[Key, str]] = []
+    told: CellMap | None = _section(CellMap, _parse(text, name), (), found)
+    if found or told is None:
+        lines = locate(text)
+        raise BadFile(name, [Fault(_dotted(key), what, _nearest(lines, key)) for key, what in found])
+    return told
+
+
 def read_text(path: str | Path) -> str:
     """A file's text; BadFile where there is none, it is too large or not UTF-8."""
     name = str(path)
@@ -432,6 +444,11 @@
     if source != "file" and (file.route or file.pool):
         key = "route" if file.route else "pool"
         faults.append(((key,), 'is for versions.source = "file"; without it there is one list of upstreams'))
+    if file.cells.file and source != "file":
+        faults.append((("cells", "file"), 'needs versions.source = "file": cells name its pools'))
+    if file.cells.file and 3 * file.cells.check_every > file.cells.lease:
+        what = f"three of it must fit into cells.lease, {file.cells.lease}: a look may come late"
+        faults.append((("cells", "check_every"), what))
     if source == "off":
         if up.source == "none":
             faults.append((("upstreams", "source"), '"none" is for where versions.source is not "off"'))
--- a/brackengate/installation/schema.py
+++ b/brackengate/installation/schema.py
@@ -276,6 +276,43 @@
     new_pools: Literal["warm", "cold"] = "warm"  # upstreams of which nothing is known
 
 
+class Cell(Section, frozen=True, kw_only=True):
+    """Pools of its own, in place of those that routes name."""
+
+    pools: dict[str, str] = {}
+
+
+class Move(Section, frozen=True, kw_only=True):
+    """A tenant's way from one cell to another.  Times are microseconds of Unix time."""
+
+    from_: str = msgspec.field(name="from")
+    to: str
+    start: Annotated[int, Bounds(0, 1 << 60)] = 0  # 0: paused, the old owner keeps it
+    gap: Annotated[int, Bounds(0, 3600 * S)]  # from `start`, nobody's
+    memory: Annotated[int, Bounds(0, 24 * 3600 * S)] = 0  # after that, nobody's for keyed requests
+
+
+class CellMap(Section, frozen=True, kw_only=True):
+    """The file of `cells.file`: who belongs to which cell."""
+
+    epoch: Annotated[int, Bounds(1, 1 << 60)]
+    published: Annotated[int, Bounds(0, 1 << 60)]  # microseconds of Unix time
+    cell: dict[str, Cell]
+    default: str  # the cell of those who are not named
+    assign: dict[str, str] = {}
+    move: dict[str, Move] = {}
+
+
+class Cells(Section, frozen=True, kw_only=True):
+    """Cells.  Off without a file."""
+
+    file: str = ""
+    by: Literal["tenant", "entity"] = "tenant"
+    lease: Annotated[Duration, Bounds(300 * MS, 600 * S)] = Duration(3 * S)
+    skew: Annotated[Duration, Bounds(0, 60 * S)] = Duration(100 * MS)  # of a clock, either way
+    check_every: Annotated[Duration, Bounds(10 * MS, 200 * S)] = Duration(500 * MS)
+
+
 class Xds(Section, frozen=True, kw_only=True):
     """The control services of `versions.source = "xds"`."""
 
@@ -315,5 +352,6 @@
     route: tuple[Route, ...] = ()
     pool: dict[str, Pool] = {}
     versions: Versions = Versions()
+    cells: Cells = Cells()
     xds: Xds = Xds()
     log: Log = Log()
--- a/brackengate/installation/settings.py
+++ b/brackengate/installation/settings.py
@@ -107,6 +107,7 @@
         "queues",
         "flow",
         "versions",
+        "cells",
         "xds",
     )
     if old.versions.source != "file":
--- a/brackengate/net/api.py
+++ b/brackengate/net/api.py
@@ -58,13 +58,14 @@
         client_of: ClientOf | None = None,
         origin_of: OriginOf | None = None,
         route_of: RouteOf | None = None,
+        whole: bool = False,
     ) -> None:
         """`client_of`: who sent a request, where somebody asks; None where that can't be told.  `origin_of`:
-        the same, and whence.  `route_of`: where there are routes."""
+        the same, and whence.  `route_of`: where there are routes.  `whole`: no body goes on in pieces."""
         self._node, self._client_of, self._origin_of = node, client_of, origin_of
         self._route_of = route_of
         # A stage at the door compares or keeps bodies and answers: it needs them whole.
-        self._in_pieces = client_of is None and origin_of is None
+        self._in_pieces = client_of is None and origin_of is None and not whole
         self.most_body = MAX_LONG_BODY if self._in_pieces else MAX_BODY
 
     def begin(self, arrival: Arrival, connection: CallerConnection) -> None:
--- a/brackengate/routing/feed.py
+++ b/brackengate/routing/feed.py
@@ -41,7 +41,7 @@
             if pool.from_discovery:
                 rows = tuple(row for row in self._rows.values() if pool.kind in ("", row.kind))
                 pools[name] = msgspec.structs.replace(pool, upstream=rows, from_discovery=False, kind="")
-        return make(pools, snapshot.routes)
+        return make(pools, snapshot.routes, snapshot.cells)
 
 
 def _row(endpoint: Endpoint, address: Address) -> Upstream:
--- a/brackengate/routing/pools.py
+++ b/brackengate/routing/pools.py
@@ -13,8 +13,9 @@
 from typing import Any
 
 from brackengate.brain import Balancer
+from brackengate.cells.owners import Go, Owners, Terms, Turned, Why
 from brackengate.installation.schema import Pool as PoolSettings
-from brackengate.interface import ListKind, Outcome, Request, Settings
+from brackengate.interface import Idempotency, ListKind, Outcome, Request, Settings
 from brackengate.net.node import FAILED, REFUSED, Caller, Clock, Message, Node, Reply
 from brackengate.net.observer import FlowWatch, Observer
 from brackengate.net.sockets import PartBudget, SocketBudget
@@ -40,6 +41,17 @@
 
     pool: PoolRun
     table: RouteTable
+    epoch: int = 0  # of the map of cells that it was chosen by; 0: there are none
+
+
+@dataclass(frozen=True, slots=True)
+class CellTerms:
+    """By what requests are told apart, what is promised, and what is known of the map's source."""
+
+    by: str  # "tenant" or "entity"
+    terms: Terms
+    confirmed: Callable[[], int]  # when the newest map was last seen to be so
+    newest: Callable[[], int]  # its epoch
 
 
 class _PoolObserver:
@@ -171,6 +183,8 @@
         self.classes = {cls.name: cls for cls in base.classes}
         self.snapshot: Snapshot = EMPTY
         self.table: RouteTable | None = None
+        self.owners: Owners | None = None  # cells, where there are some
+        self.cells: CellTerms | None = None
         self.runs: dict[str, PoolRun] = {}
         self.leaving: list[PoolRun] = []
         self._ages = Ages()
@@ -181,6 +195,7 @@
         self._looking: asyncio.TimerHandle | None = None
         self._flows: FlowWatch | None = None
         self.counters = {"versions": 0, "pools_made": 0, "pools_gone": 0, "no_route": 0}
+        self.counters |= {f"turned_{why.name.lower()}": 0 for why in Why}
 
     # --- Core
 
@@ -210,6 +225,8 @@
             caller.answer(Reply(BAD, b"X-Txn has been used\n", b"text/plain"))
             return
         run = chosen.pool
+        if chosen.epoch:
+            message.head += b"X-Cell-Epoch: %d\r\n" % chosen.epoch
         if request.earlier:
             kind = self.classes[request.class_name].idempotency
             pool = goes_to(run.name, request.earlier, kind, self.runs)
@@ -253,15 +270,30 @@
 
     # --- routes
 
-    def choose(self, traits: Traits) -> Chosen | None:
-        """By the table in use; None where no route fits, or there is no table yet."""
+    def choose(self, traits: Traits) -> Chosen | Turned | None:
+        """By the table in use, and the cell; None where no route fits, or there is no table yet."""
         if self.table is not None:
-            run = self.runs.get(self.table.pool(traits))
+            name, epoch = self.table.pool(traits), 0
+            if name and self.owners is not None and self.cells is not None:
+                told = self._cell(traits, self.owners, self.cells)
+                if isinstance(told, Turned):
+                    self.counters[f"turned_{told.why.name.lower()}"] += 1
+                    return told
+                name, epoch = self.owners.pool(told.cell, name), self.owners.epoch
+            run = self.runs.get(name)
             if run is not None:
-                return Chosen(run, self.table)
+                return Chosen(run, self.table, epoch)
         self.counters["no_route"] += 1
         return None
 
+    def _cell(self, traits: Traits, owners: Owners, terms: CellTerms) -> Go | Turned:
+        cls = self.classes.get(traits.class_name)
+        kind = cls.idempotency if cls is not None else Idempotency.UNSAFE
+        who = traits.entity if terms.by == "entity" else traits.tenant
+        # What was confirmed is the newest map; one that is in use and not that one is confirmed no more.
+        confirmed = terms.confirmed() if owners.epoch == terms.newest() else 0
+        return owners.decide(who, kind, self.clock.now(), confirmed, terms.terms)
+
     # --- versions
 
     def apply(self, snapshot: Snapshot, version: str) -> None:
@@ -287,6 +319,8 @@
         for name in (*told.added, *told.rebuilt):
             self._make(name, snapshot.pools[name])
         before, self.snapshot = self.snapshot, snapshot
+        if snapshot.cells is not before.cells:
+            self.owners = Owners.of(snapshot.cells, self.owners) if snapshot.cells is not None else None
         if told.routes or told.added or old or told.caps or self.table is None:
             # Another for other pools too: by its table it is told which answers are of the present version.
             self.table = RouteTable(snapshot.routes, version)
--- a/brackengate/routing/setup.py
+++ b/brackengate/routing/setup.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from brackengate.cells.owners import Turned
 from brackengate.installation.schema import File
 from brackengate.interface import Request
 from brackengate.net.api import RouteOf
@@ -51,6 +52,9 @@
             request=request.request,
         )
         chosen = pools.choose(traits)
+        if isinstance(chosen, Turned):
+            advice = b"Retry-After: %.3f\r\n" % (-(-chosen.wait // 1000) / 1e3)  # not a moment too early
+            raise Bad(503, f"refused: {chosen.why.value}", advice)
         if chosen is None:
             raise Bad(404, "no route fits")
         return chosen
--- a/brackengate/snapshot/check.py
+++ b/brackengate/snapshot/check.py
@@ -11,6 +11,7 @@
 from collections.abc import Collection
 from functools import lru_cache
 
+from brackengate.cells.check import map_faults
 from brackengate.installation.schema import Pool, Route, Upstream
 from brackengate.net.sockets import parse_address
 from brackengate.snapshot.model import Snapshot
@@ -46,6 +47,8 @@
             found.append((("route", i, "name"), f"{route.name!r} stands twice"))
         names.add(route.name)
         _route(i, route, snapshot, classes, found)
+    if snapshot.cells is not None:
+        found += map_faults(snapshot.cells, snapshot.pools)
     if not snapshot.routes:
         found.append((("route",), "is missing: without routes nothing is answered"))
     return found
--- a/brackengate/snapshot/model.py
+++ b/brackengate/snapshot/model.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from brackengate.installation.schema import Pool, Route
+from brackengate.installation.schema import CellMap, Pool, Route
 
 
 class Snapshot(msgspec.Struct, frozen=True, kw_only=True):
@@ -20,6 +20,14 @@
 
     pools: dict[str, Pool] = {}
     routes: tuple[Route, ...] = ()
+    cells: CellMap | None = None
+
+
+class _Bare(msgspec.Struct, frozen=True, kw_only=True):
+    """One without cells, as it was written before there were any: its digest stays the same."""
+
+    pools: dict[str, Pool]
+    routes: tuple[Route, ...]
 
 
 EMPTY = Snapshot()
@@ -29,14 +37,14 @@
 )
 
 
-def make(pools: Mapping[str, Pool], routes: Sequence[Route]) -> Snapshot:
+def make(pools: Mapping[str, Pool], routes: Sequence[Route], cells: CellMap | None = None) -> Snapshot:
     """A snapshot in its one form: upstreams by name, so that order alone is no difference."""
     ordered = {}
     for name in sorted(pools):
         pool = pools[name]
         rows = tuple(sorted(pool.upstream, key=lambda row: row.name))
         ordered[name] = pool if rows == pool.upstream else msgspec.structs.replace(pool, upstream=rows)
-    return Snapshot(pools=ordered, routes=tuple(routes))
+    return Snapshot(pools=ordered, routes=tuple(routes), cells=cells)
 
 
 def pools_of(routes: Iterable[Route]) -> set[str]:
@@ -46,12 +54,15 @@
 
 def encode(snapshot: Snapshot) -> bytes:
     """JSON with sorted keys: equal snapshots give equal bytes."""
-    return _ENCODER.encode(snapshot)
+    bare = _Bare(pools=snapshot.pools, routes=snapshot.routes)
+    return _ENCODER.encode(bare if snapshot.cells is None else snapshot)
 
 
 def builtins(snapshot: Snapshot) -> dict[str, Any]:
     """The same as plain dicts and lists."""
     told: dict[str, Any] = msgspec.to_builtins(snapshot, enc_hook=int)
+    if snapshot.cells is None:
+        del told["cells"]
     return told
 
 
@@ -61,8 +72,8 @@
 
 
 def digests(snapshot: Snapshot) -> tuple[str, str]:
-    """Of the whole, and of its shape, without upstreams: sixteen hexadecimal characters each."""
+    """Of the whole, and of its shape, without upstreams and cells: sixteen hexadecimal characters each."""
     pools = {name: msgspec.structs.replace(pool, upstream=()) for name, pool in snapshot.pools.items()}
-    shape = msgspec.structs.replace(snapshot, pools=pools)
+    shape = msgspec.structs.replace(snapshot, pools=pools, cells=None)
     whole, rest = (hashlib.sha256(encode(one)).hexdigest()[:16] for one in (snapshot, shape))
     return whole, rest
--- a/brackengate/versions/store.py
+++ b/brackengate/versions/store.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -88,7 +88,10 @@
 
 
 def follow(base: Snapshot, earlier: Snapshot, new: Snapshot) -> Snapshot:
-    """`base` with upstreams as `new` has them; of pools that only `earlier` had they are draining."""
+    """`base` with upstreams and cells as `new` has them; of pools that only `earlier` had they are draining.
+
+    An owner must not come back because a version does, nor wait for a version's turn.
+    """
     pools = dict(base.pools)
     for name, pool in base.pools.items():
         if name in new.pools:
@@ -99,14 +102,21 @@
             continue  # an operator went back to a version with this pool: the source has no word on it
         if rows != pool.upstream:
             pools[name] = msgspec.structs.replace(pool, upstream=rows)
-    return make(pools, base.routes)
+    return make(pools, base.routes, new.cells)
 
 
 class Store:
     def __init__(
-        self, classes: Collection[str], rollout: Rollout, history: int = 8, backwards: bool = True
+        self,
+        classes: Collection[str],
+        rollout: Rollout,
+        history: int = 8,
+        backwards: bool = True,
+        change: Callable[[int, Snapshot, Snapshot], list[str]] = lambda now, old, new: [],
     ) -> None:
-        """`backwards`: whether a lower number is taken, where versions are numbers."""
+        """`backwards`: whether a lower number is taken, where versions are numbers.  `change`: why one must
+        not follow on the other."""
+        self._change = change
         self._classes, self.rollout, self._most, self._backwards = classes, rollout, history, backwards
         self.history: deque[Version] = deque()
         self.in_use: Version | None = None
@@ -124,7 +134,7 @@
 
     def offer(self, now: int, candidate: Candidate) -> list[Action]:
         whole, shape = digests(candidate.snapshot)
-        reasons = self._reasons(candidate)
+        reasons = self._reasons(candidate) or self._change(now, self.active, candidate.snapshot)
         if reasons:
             return self._turn_down(candidate, whole, shape, reasons)
         self.counters["taken"] += 1
