--- a/tests/platform/test_days.py
+++ b/tests/platform/test_days.py
@@ -167,6 +167,31 @@
     run(main())
 
 
+def test_operators_are_answered_beside_a_full_crowd_of_callers(tmp_path: Path) -> None:
+    """More callers than the sockets allow hold unfinished heads, others hold operators' connections."""
+
+    async def main() -> None:
+        async with platform(tmp_path) as made:
+            program = await made.program()
+            await program.until("check", "YES")
+            crowd = []
+            for _ in range(300):  # 256 descriptors in all
+                _, writer = await asyncio.open_connection("127.0.0.1", made.port)
+                writer.write(b"POST /api HTTP/1.1\r\nX-T")
+                crowd.append(writer)
+            for _ in range(40):
+                _, writer = await asyncio.open_connection("127.0.0.1", program.admin)
+                writer.write(b"che")
+                crowd.append(writer)
+            for call in ("check", "vars", "drain-on", "drain-off", "check"):
+                assert (await program.ask(call)).splitlines()[-1] in ("YES", "END")
+            assert (await program.figures())["app.inflight"] == 0  # none of them is a request
+            for writer in crowd:
+                writer.close()
+
+    run(main())
+
+
 def test_a_drain_sends_clients_away_keeps_what_runs_and_ends(tmp_path: Path) -> None:
     async def main() -> None:
         async with platform(tmp_path) as made:
