Plan a process's part of the limits in one pure place, and test what two processes share

platform/siblings.py: part() says sockets, callers and stream bytes alone and beside another program.

--- a/brackengate/platform/program.py
+++ b/brackengate/platform/program.py
@@ -26,14 +26,10 @@
 from brackengate.net.sockets import SocketBudget, bind, listening
 from brackengate.net.upstream import Pool
 from brackengate.platform.config import BadConfig, Config, load_config
-from brackengate.platform.siblings import Siblings, successor
+from brackengate.platform.siblings import Siblings, part, successor
 
 log = logging.getLogger("brackengate")
 
-RESERVED_DESCRIPTORS = 48  # the loop's own, discovery, operators, standard streams, and those being closed
-BESIDE_DESCRIPTORS = 24  # what a second program needs of these
-OWN_MB, CALLER_KB = 16, 96  # memory of the program with no caller, and of one caller with a whole request
-STREAMS_SHARE = 0.25  # of the rest of the memory: what bodies in pieces may hold together
 DRAIN_EXTRA_S = 0.6  # SIGKILL comes 0.7 s after the longest deadline at the soonest
 LOOK_S = 0.1  # between two looks at the processes beside this one
 
@@ -62,17 +58,13 @@
         self._siblings = self._meet()
         others = self._siblings.look() if self._siblings is not None else []
         self.life = lifecycle.Lifecycle(alone=not any(other.ready for other in others))
-        descriptors = (
-            min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - RESERVED_DESCRIPTORS
-        )
-        memory_mb = config.memory_mb - OWN_MB
-        if self._siblings is not None:  # another program may run beside this one, under the same limits
-            descriptors, memory_mb = descriptors - BESIDE_DESCRIPTORS, (memory_mb - OWN_MB) // 2
+        descriptors = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        mine = part(descriptors, config.memory_mb, shared=self._siblings is not None)
         elsewhere = self._siblings.sockets_elsewhere if self._siblings is not None else lambda: 0
-        self._budget = SocketBudget(max(16, descriptors), elsewhere)
+        self._budget = SocketBudget(mine.sockets, elsewhere)
         settings = config.settings
         connect_s, idle_s = settings.connect_timeout / 1e6, settings.idle_close / 1e6
-        bytes_ = ByteBudget(int(max(1.0, memory_mb * STREAMS_SHARE)) << 20)
+        bytes_ = ByteBudget(mine.stream_bytes)
         self._pool = Pool(self._loop, self._budget, connect_s, idle_s, bytes_)
         self._module = Balancer(settings, config.seed)
         self._node = Node(self._loop, Clock(), settings, self._module, self._pool)
@@ -81,13 +73,12 @@
         self._discovery = self._node.watch = Discovery(
             self._node, config.discovery, settings.list_on_request, rng
         )
-        room = max(32, memory_mb * 1024 // CALLER_KB)
         self._server = Server(
             self._loop,
             self._node,
             self._budget,
             [self._listen()],
-            room,
+            mine.callers,
             ready=lambda: self.life.ready,
             bytes_=bytes_,
         )
--- a/brackengate/platform/siblings.py
+++ b/brackengate/platform/siblings.py
@@ -22,6 +22,37 @@
 MARK = b"brknprc1"
 
 
+RESERVED_DESCRIPTORS = 48  # the loop's own, discovery, operators, standard streams, and those being closed
+BESIDE_DESCRIPTORS = 24  # what a second program needs of these
+OWN_MB, CALLER_KB = 16, 96  # memory of the program with no caller, and of one caller with a whole request
+STREAMS_SHARE = 0.25  # of the rest of the memory: what bodies in pieces may hold together
+
+
+@dataclass(frozen=True, slots=True)
+class Part:
+    """What one process may hold of the limits."""
+
+    sockets: int  # together with those that the others hold
+    callers: int
+    stream_bytes: int
+
+
+def part(descriptors: int, memory_mb: int, shared: bool) -> Part:
+    """`shared`: another program may run beside this one, under the same limits.  Pure.
+
+    Sockets are counted together as they are taken; of the memory that two programs leave each has half, since
+    nobody can take it back from the other.
+    """
+    sockets, rest_mb = descriptors - RESERVED_DESCRIPTORS, float(memory_mb - OWN_MB)
+    if shared:
+        sockets, rest_mb = sockets - BESIDE_DESCRIPTORS, (rest_mb - OWN_MB) / 2
+    return Part(
+        max(16, sockets),
+        max(32, int(rest_mb * 1024) // CALLER_KB),
+        int(max(1.0, rest_mb * STREAMS_SHARE) * (1 << 20)),
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class Sibling:
     """What one process says of itself."""
--- a/tests/platform/test_siblings.py
+++ b/tests/platform/test_siblings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import heapq
+import itertools
 import os
 import subprocess
 import sys
@@ -11,9 +13,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from brackengate import interface as api
+from brackengate.brain import Balancer
 from brackengate.net.sockets import SocketBudget
-from brackengate.platform.siblings import Sibling, Siblings, successor
+from brackengate.platform.siblings import CALLER_KB, OWN_MB, Sibling, Siblings, part, successor
 
+SAFE = api.RequestClass("read", 500_000, 1_000_000, api.Idempotency.REPEATABLE)
 ROOT = Path(__file__).parent.parent.parent
 OTHER = """
 import sys
@@ -108,3 +113,48 @@
     finally:
         end(process)
     mine.close()
+
+
+@pytest.mark.parametrize("memory_mb", [40, 64, 80, 96, 192])
+@pytest.mark.parametrize("descriptors", [192, 384, 512, 1024])
+def test_two_programs_plan_with_no_more_than_one_may_have(memory_mb: int, descriptors: int) -> None:
+    """Callers and bodies of both, and both programs, fit into the one limit of memory."""
+    alone, shared = (part(descriptors, memory_mb, told) for told in (False, True))
+    assert 0 < shared.sockets < alone.sockets < descriptors
+    for count, one in ((1, alone), (2, shared)):
+        held = one.callers * CALLER_KB / 1024 + OWN_MB
+        if one.callers > 32:  # the least that is of any use
+            assert count * held <= memory_mb + 1
+        assert one.stream_bytes >= 1 << 20
+
+
+def sent_to_cold(processes: int, seed: int) -> int:
+    """Calls that a cold upstream among ten gets in its first five seconds, the traffic dealt out in turn."""
+    start, end = 100_000_000, 105_000_000
+    rows = [api.Endpoint(f"u{n}") for n in range(10)] + [api.Endpoint("cold", started_at=start)]
+    settings = api.Settings(classes=(SAFE,), cold_share=0.3, cold_time=8_000_000)
+    made = [Balancer(settings, seed + n) for n in range(processes)]
+    count, serial = 0, itertools.count()
+    todo: list[tuple[int, int, int, api.Event]] = []
+    for n in range(processes):
+        heapq.heappush(todo, (start, next(serial), n, api.UpstreamList(api.ListKind.FULL, tuple(rows))))
+    for number, at in enumerate(range(start + 1000, end, 10_000)):
+        event = api.Request(f"r{number}", SAFE.name, at + 1_000_000)
+        heapq.heappush(todo, (at, next(serial), number % processes, event))
+    while todo and todo[0][0] < end:
+        now, _, n, event = heapq.heappop(todo)
+        for action in made[n].handle(now, event):
+            if isinstance(action, api.SetTimer):
+                due, told = now + action.delay, api.TimerFired(action.token)
+                heapq.heappush(todo, (due, next(serial), n, told))
+            elif isinstance(action, api.Send):
+                count += action.upstream == "cold"
+                over = api.AttemptEnded(action.request, 0, action.upstream, api.Outcome.OK, 50_000, True)
+                heapq.heappush(todo, (now + 50_000, next(serial), n, over))
+    return count
+
+
+def test_a_cold_upstream_gets_no_more_of_two_processes_than_of_one() -> None:
+    """Each paces by the time between its own sends, and has half of the traffic."""
+    one, two = (sum(sent_to_cold(count, seed) for seed in range(20)) for count in (1, 2))
+    assert 0 < two <= 1.25 * one
