Test the figures after long bodies that went wrong

A cut answer counts as failed, an upload refused before its end as busy and as no attempt, whoever left under none; in flight goes back to 0.

--- a/tests/net/test_bodies.py
+++ b/tests/net/test_bodies.py
@@ -17,6 +17,7 @@
 from brackengate.net import http as http_module
 from brackengate.net import upstream as upstream_module
 from brackengate.net.body import FLOOR, WHOLE
+from brackengate.net.figures import Figures, Kind
 
 LONG = 32 << 20
 BLOCK = os.urandom(1 << 20)
@@ -621,3 +622,60 @@
         upstream.server.close()
 
     run(main())
+
+
+def test_figures_after_long_bodies_that_went_wrong() -> None:
+    """A cut answer has failed, a refused upload is busy, whoever left counts under none."""
+
+    async def main() -> None:
+        async def act(upstream: Upstream, reader: Reader, writer: asyncio.StreamWriter) -> None:
+            if reader.headers["x-txn"] == "refused":
+                await reader.body(1000)
+                reset(writer)
+                raise ConnectionResetError
+            await reader.body()
+            upstream.ran.append(reader)
+            size = LONG if reader.headers["x-txn"] == "leaves" else 4 << 20  # more than the kernels hold
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+            writer.write(BLOCK)
+            if reader.headers["x-txn"] == "cut":
+                await writer.drain()
+                await asyncio.sleep(0.05)
+                reset(writer)
+                raise ConnectionResetError
+            await send(writer, size - len(BLOCK))
+
+        upstream = await Upstream(act).start()
+        bench = Bench(bytes_=1)
+        figures = bench.node.observer = Figures()
+        bench.list(upstream.port)
+        good = await bench.caller()
+        good.send("good")
+        assert (await received(good)).size == 4 << 20
+        cut = await bench.caller()
+        cut.send("cut")
+        with pytest.raises((asyncio.IncompleteReadError, ConnectionResetError)):
+            await received(cut)
+        leaver = await bench.caller()
+        leaver.send("leaves")
+        await received(leaver, 1 << 20)
+        reset(leaver.writer)
+        halfway = await bench.caller()
+        halfway.writer.write(head(LONG).replace(b"a1", b"halfway"))
+        await send(halfway.writer, 1 << 20)
+        reset(halfway.writer)
+        refused = await bench.caller()
+        refused.writer.write(head(LONG).replace(b"a1", b"refused"))
+        sending = asyncio.create_task(send(refused.writer, LONG))
+        assert (await refused.read())[0] == 503
+        sending.cancel()
+        await until(lambda: bench.node.out() == 0 and figures.inflight == 0)
+        told = figures.by_kind(["read", "buy"])
+        assert {key: count for key, count in told.items() if count} == {
+            (Kind.SERVED, "read"): 1,
+            (Kind.FAILED, "read"): 1,
+            (Kind.REFUSED, "buy"): 1,
+        }
+        assert figures.attempts_written == 3  # what never was there whole is no attempt
+
+    run(main())
