--- a/brackengate/http/message.py
+++ b/brackengate/http/message.py
@@ -17,6 +17,7 @@
     408: b"Request Timeout",
     409: b"Conflict",
     413: b"Content Too Large",
+    421: b"Misdirected Request",
     415: b"Unsupported Media Type",
     422: b"Unprocessable Content",
     429: b"Too Many Requests",
@@ -64,7 +65,7 @@
     """A whole answer.  `retry_after` in microseconds: told as a decimal, as whole seconds would be coarse."""
     return b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n%s%s%s%s\r\n%s" % (
         status,
-        REASONS[status],
+        REASONS.get(status, b"Status"),
         len(body),
         b"Content-Type: %s\r\n" % content_type if content_type else b"",
         b"Retry-After: %.3f\r\n" % (retry_after / 1e6) if retry_after > 0 else b"",
--- a/brackengate/http/upstream.py
+++ b/brackengate/http/upstream.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import httptools
 
@@ -51,6 +51,7 @@
     fields: dict[bytes, bytes]
     body: bytes
     reuse: bool
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -154,7 +155,7 @@
         """The connection has ended.  An answer that only this ends is whole, where it ended in order."""
         out: list[Event] = []
         if self._till_close and clean and self.written:
-            out.append(Answered(self._status, self._fields, b"".join(self._body), False))
+            out.append(Answered(self._status, self._fields, b"".join(self._body), False, self._headers))
         self._close()
         return out
 
@@ -264,7 +265,7 @@
             reuse = self.written and self._keep_alive and count == len(data)
             if self._status == 200 and not self.written:
                 raise Bad(502, "an answer to a request that is not all there")
-            out.append(Answered(self._status, self._fields, b"".join(self._body), reuse))
+            out.append(Answered(self._status, self._fields, b"".join(self._body), reuse, self._headers))
             if reuse:
                 self._move(UpstreamMove.WHOLE)
                 self._clear()
--- /dev/null
+++ b/brackengate/lighthouse/actions.py
@@ -0,0 +1,55 @@
+"""What the deciders ask their carrier for."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from brackengate.signals.words import Line, Row
+
+
+@dataclass(slots=True)
+class Tell:
+    """Say it to another lighthouse; lost where there is no connection."""
+
+    addr: str
+    word: Line
+
+
+@dataclass(slots=True)
+class Store:
+    """Bring it to the disk, then say `tells`, then call `stored(place, life)` where `place` is not negative.
+
+    Stores are done in the order in which they were asked for.
+    """
+
+    meta: dict[str, Any] = field(default_factory=dict)
+    rows: list[tuple[int, Row]] = field(default_factory=list)  # with the place of each
+    forget: bool = False  # all rows that were there before go
+    tells: list[Tell] = field(default_factory=list)
+    place: int = -1
+    life: int = 0
+
+
+@dataclass(slots=True)
+class Answer:
+    """An ask that came to this member is answered; None: it is not known what becomes of it."""
+
+    id: int
+    result: Any
+
+
+@dataclass(slots=True)
+class Publish:
+    """These rows are agreed: followers may have them."""
+
+    place: int
+    rows: tuple[Row, ...]
+
+
+@dataclass(slots=True)
+class Restart:
+    """What was published is no longer a prefix of what is held: followers take a snapshot."""
+
+
+Action = Tell | Store | Answer | Publish | Restart
--- /dev/null
+++ b/brackengate/lighthouse/role.py
@@ -0,0 +1,292 @@
+"""The lighthouse as a process: its disk, its links, its followers and its operators.  Decides nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import os
+import signal
+import sqlite3
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from typing import Any
+
+from brackengate.lighthouse.actions import Action, Answer, Publish, Restart, Store, Tell
+from brackengate.lighthouse.control import Control
+from brackengate.lighthouse.member import FIRST, Kept, Member
+from brackengate.lighthouse.store import BadDisk, Disk
+from brackengate.net.node import Clock
+from brackengate.net.sockets import Address, bind
+from brackengate.signals.door import listener
+from brackengate.signals.lines import Dialer, Lines, encoded
+from brackengate.signals.settings import Settings, plain
+from brackengate.signals.words import (
+    Ask,
+    Asked,
+    Away,
+    Beat,
+    Changes,
+    Core,
+    Done,
+    Follow,
+    Hello,
+    Line,
+    Snapshot,
+)
+
+log = logging.getLogger("brackengate.lighthouse")
+
+TICK_S = 0.05
+BEAT = 400_000  # a follower hears something at least so often
+SLOW = 400_000  # a disk that takes longer over a write is not fit for a seat
+RETRY_S = 0.3  # a write that failed is tried again
+
+
+@dataclass(slots=True, eq=False)
+class Follower:
+    lines: Lines
+    place: int = -1
+    follows: bool = False
+    said: int = 0
+
+
+class Lighthouse:
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self._loop = asyncio.get_running_loop()
+        self.clock = Clock()
+        control = plain(settings.listen.control, "Control")
+        self.me = f"{control[0]}:{control[1]}"
+        self._port = settings.lighthouse_port
+        self._left: asyncio.Future[int] = self._loop.create_future()
+        self._threads = ThreadPoolExecutor(1)
+        self._disk: Disk | None = None
+        self.member: Member
+        self._links: dict[str, Dialer] = {}
+        self._queue: list[Store] = []
+        self._writing_since = 0
+        self._failed = False
+        self._followers: dict[Lines, Follower] = {}
+        self._asks: dict[int, Callable[[Any], None]] = {}
+        self._last_ask = 0
+        self._core: Core | None = None
+        self._inner: asyncio.Server | None = None
+        self._ticker: asyncio.TimerHandle | None = None
+
+    @staticmethod
+    def now() -> int:
+        return time.monotonic_ns() // 1000
+
+    # --- life
+
+    async def run(self) -> int:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(number, self._stop)
+        self._loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        kept = await self._open_disk()
+        settings, now = self.settings, self.now()
+        first = settings.initial_start and kept.inc == FIRST
+        seeds = [f"{host}:{port}" for host, port in settings.seeds]
+        window = settings.bounds.dedupe_window
+        self.member = Member(self.me, settings.zone, kept, seeds, first, settings.enough, window, now)
+        self._inner = await self._loop.create_server(
+            lambda: Lines(self._on_line, self._on_open, self._on_lost), settings.ip, self._port
+        )
+        server = listener(
+            self._loop, self.clock, [bind(plain(settings.listen.control, "Control"))], Control(self)
+        )
+        server.start()
+        log.info("lighthouse: %s is up, view %d", self.me, self.member.agreement.view.epoch)
+        self._carry_out(self.member.start(now))
+        self._tick()
+        try:
+            return await self._left
+        finally:
+            server.close()
+
+    def _stop(self) -> None:
+        if not self._left.done():
+            self._left.set_result(0)
+
+    async def _open_disk(self) -> Kept:
+        settings = self.settings
+        inc = FIRST if settings.initial_start else os.urandom(6).hex()
+        folder = settings.data_dir or "."
+        while True:
+            try:
+                self._disk = await self._loop.run_in_executor(self._threads, Disk, folder)
+                return await self._loop.run_in_executor(self._threads, self._disk.read, inc)
+            except BadDisk:
+                raise
+            except (OSError, sqlite3.Error) as error:
+                log.error("store: step open, folder %s: %s; tried again", folder, error)
+                await asyncio.sleep(RETRY_S)
+
+    def _tick(self) -> None:
+        self._ticker = self._loop.call_later(TICK_S, self._tick)
+        now = self.now()
+        slow = self._writing_since and now - self._writing_since > SLOW
+        self.member.fit(not self._failed and not slow)
+        self._carry_out(self.member.tick(now))
+        self._keep_followers(now)
+
+    # --- carrying out
+
+    def _carry_out(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Tell):
+                self._tell(action)
+            elif isinstance(action, Store):
+                self._queue.append(action)
+            elif isinstance(action, Answer):
+                done = self._asks.pop(action.id, None)
+                if done is not None:
+                    done(action.result)
+            elif isinstance(action, Publish):
+                self._publish(action)
+            elif isinstance(action, Restart):
+                for follower in self._followers.values():
+                    if follower.follows:
+                        self._catch_up(follower)
+        if self._queue and not self._writing_since:
+            self._write()
+
+    def _tell(self, tell: Tell) -> None:
+        if tell.addr == self.me:
+            self._loop.call_soon(self._heard, self.me, tell.word)
+            return
+        link = self._links.get(tell.addr)
+        if link is None:
+            link = self._links[tell.addr] = self._dial(tell.addr)
+        link.send(tell.word)
+
+    def _heard(self, addr: str, word: Line) -> None:
+        self._carry_out(self.member.heard(addr, word, self.now()))
+
+    def _write(self) -> None:
+        batch, self._queue = self._queue, []
+        self._writing_since = self.now()
+        assert self._disk is not None
+        future = self._loop.run_in_executor(self._threads, self._disk.write, batch)
+        future.add_done_callback(lambda done: self._written(batch, done))
+
+    def _written(self, batch: list[Store], done: asyncio.Future[None]) -> None:
+        error = done.exception()
+        if error is not None:
+            if not self._failed:
+                log.error("store: step write: %s; the seat is given up until it succeeds", error)
+            self._failed = True
+            self._queue = batch + self._queue
+            self._loop.call_later(RETRY_S, self._write)
+            return
+        if self._failed:
+            log.info("store: writes succeed again")
+        self._failed, self._writing_since = False, 0
+        actions: list[Action] = []
+        for store in batch:
+            actions += store.tells
+            if store.place >= 0:
+                actions += self.member.stored(store.place, store.life)
+        self._carry_out(actions)
+
+    # --- links to the other lighthouses
+
+    def _dial(self, addr: str) -> Dialer:
+        host = addr.rpartition(":")[0]
+        address: Address = (host, self._port)
+
+        def opened(dialer: Dialer) -> None:
+            dialer.send(Hello(self.me))
+            self._carry_out(self.member.reconnected(addr, self.now()))
+
+        def refused() -> None:
+            self._carry_out(self.member.refused(addr, self.now()))
+
+        return Dialer(address, lambda word: self._heard(addr, word), opened, on_refused=refused)
+
+    # --- who comes here
+
+    def _on_open(self, lines: Lines) -> None:
+        pass
+
+    def _on_line(self, lines: Lines, word: Line) -> None:
+        if isinstance(word, Hello):
+            lines.peer = word.addr
+            if word.pilot:
+                self._followers[lines] = Follower(lines)
+            else:
+                self.member.met(word.addr, self.now())
+                self._carry_out(self.member.reconnected(word.addr, self.now()))
+        elif lines in self._followers:
+            self._from_pilot(self._followers[lines], word)
+        elif lines.peer:
+            self._heard(lines.peer, word)
+
+    def _on_lost(self, lines: Lines) -> None:
+        self._followers.pop(lines, None)
+
+    def _from_pilot(self, follower: Follower, word: Line) -> None:
+        if isinstance(word, Follow):
+            follower.place, follower.follows = word.place, True
+            if self.member.serves(self.now()):
+                self._say(follower, self._core_line())
+                self._catch_up(follower, even_none=True)
+            else:
+                self._say(follower, Away())
+        elif isinstance(word, Asked):
+            self.ask(word.what, lambda result: follower.lines.send(Done(word.id, result)))
+
+    def ask(self, what: Ask, done: Callable[[Any], None]) -> None:
+        """`done` gets the result once; None: it is not known what becomes of it."""
+        self._last_ask += 1
+        self._asks[self._last_ask] = done
+        self._carry_out(self.member.ask(what, self._last_ask, self.now()))
+
+    # --- followers
+
+    def _core_line(self) -> Core:
+        return Core(tuple(self.member.agreement.zones().items()))
+
+    def _say(self, follower: Follower, word: Line) -> None:
+        follower.said = self.now()
+        follower.lines.send(word)
+
+    def _catch_up(self, follower: Follower, even_none: bool = False) -> None:
+        whole, place, rows = self.member.chain.since(follower.place)
+        if whole:
+            self._say(follower, Snapshot(place, rows))
+        elif rows or even_none:
+            self._say(follower, Changes(place, rows))
+        follower.place = max(follower.place, place)
+
+    def _publish(self, news: Publish) -> None:
+        data, now = encoded(Changes(news.place, news.rows)), self.now()
+        for follower in self._followers.values():
+            if follower.follows and follower.place < news.place:
+                follower.place, follower.said = news.place, now
+                follower.lines.send_raw(data)
+
+    def _keep_followers(self, now: int) -> None:
+        serves = self.member.serves(now)
+        core = self._core_line()
+        for follower in list(self._followers.values()):
+            if not follower.follows:
+                continue
+            if not serves:
+                follower.follows = False
+                self._say(follower, Away())
+            elif core != self._core:
+                self._say(follower, core)
+            elif now - follower.said >= BEAT:
+                self._say(follower, Beat())
+        self._core = core
+
+
+async def serve(settings: Settings) -> int:
+    lighthouse = Lighthouse(settings)
+    with contextlib.suppress(asyncio.CancelledError):
+        return await lighthouse.run()
+    return 0
--- /dev/null
+++ b/brackengate/mesh.py
@@ -0,0 +1,98 @@
+"""The two roles of the mesh as commands: `brackengate pilot` and `brackengate lighthouse`.
+
+Exit codes: 0 stopped in order; 1 an address could not be had; 2 bad settings or usage.
+"""
+
+from __future__ import annotations
+
+import logging
+import os
+import sys
+from collections.abc import Coroutine
+from typing import Any, NoReturn
+
+import click
+import uvloop
+
+from brackengate.signals.settings import VARIABLE, BadSettings, Settings, load
+
+LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+
+settings_option = click.option(
+    "--settings",
+    "path",
+    envvar=VARIABLE,
+    required=True,
+    type=click.Path(dir_okay=False),
+    help=f"The settings file of this machine (TOML); {VARIABLE} names it too.",
+)
+check_option = click.option("--check", is_flag=True, help="Read and check the settings, and end.")
+level_option = click.option(
+    "--log-level", type=click.Choice(LEVELS), envvar="BRACKENGATE_LOG", default="INFO", show_default=True
+)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+def main() -> None:
+    """The mesh's two roles, one a machine."""
+
+
+def _read(path: str, level: str) -> Settings:
+    logging.basicConfig(
+        stream=sys.stderr,
+        level=level,
+        format="%(asctime)s.%(msecs)03d %(levelname)s %(name)s: %(message)s",
+        datefmt="%H:%M:%S",
+    )
+    try:
+        return load(path)
+    except BadSettings as error:
+        _fail(str(error), 2)
+
+
+def _fail(text: str, code: int) -> NoReturn:
+    click.echo(f"brackengate: {text}", err=True)
+    raise SystemExit(code)
+
+
+def _run(work: Coroutine[Any, Any, int]) -> NoReturn:
+    try:
+        code = uvloop.run(work)
+    except BadSettings as error:
+        _fail(str(error), 2)
+    except OSError as error:
+        _fail(f"an address could not be had: {error}", 1)
+    logging.shutdown()
+    os._exit(code)  # threads that wait for a disk in trouble must not hold up an end in order
+
+
+@main.command()
+@settings_option
+@check_option
+@level_option
+def pilot(path: str, check: bool, log_level: str) -> None:
+    """Beside an upstream: carry its requests out, and let in those that are for it."""
+    settings = _read(path, log_level)
+    if check:
+        return
+    from brackengate.pilot.role import serve
+
+    _run(serve(settings, path))
+
+
+@main.command()
+@settings_option
+@check_option
+@level_option
+def lighthouse(path: str, check: bool, log_level: str) -> None:
+    """On a core machine: keep what is agreed, and bring it to the pilots."""
+    settings = _read(path, log_level)
+    if check:
+        return
+    from brackengate.lighthouse.role import serve
+
+    _run(serve(settings))
+
+
+if __name__ == "__main__":
+    main(prog_name="brackengate")
--- a/brackengate/net/node.py
+++ b/brackengate/net/node.py
@@ -121,10 +121,28 @@
     stream: Body | None = None  # in place of `body`: it is still coming
     in_pieces: bool = False  # whether its answer may be passed on as it comes
 
-    def payload(self, remaining_ms: int) -> bytes:
+    def payload(self, remaining_ms: int, upstream: str, number: int) -> bytes:
+        """What is written for an attempt, up to a body that is still coming."""
         return b"%sX-Remaining-Ms: %d\r\n\r\n%s" % (self.head, remaining_ms, self.body)
 
 
+class Words(Protocol):
+    """What a node says to its callers: by default the platform's words."""
+
+    def served(self, result: Result) -> Reply: ...
+
+    def unserved(self, status: int, retry_after: int, last: Result | None, ran: Sequence[Earlier]) -> Reply:
+        """`last`: the last whole answer that was no success, where there was one."""
+
+
+class PlainWords:
+    def served(self, result: Result) -> Reply:
+        return Reply(200, result.body, result.content_type)
+
+    def unserved(self, status: int, retry_after: int, last: Result | None, ran: Sequence[Earlier]) -> Reply:
+        return Reply(status, retry_after=retry_after, ran=ran)
+
+
 @dataclass(slots=True, eq=False)
 class Attempt:
     row: Endpoint
@@ -151,6 +169,7 @@
     streaming: Attempt | None = None  # whose answer is being passed on
     sink: AnswerSink | None = None
     counted: bool = False  # the observer has heard that it was taken
+    last: Result | None = None  # with the last answer that was no success
 
     @property
     def open(self) -> bool:
@@ -172,8 +191,10 @@
         settings: Settings,
         module: DecisionModule,
         pool: Pool,
+        words: Words | None = None,
     ) -> None:
         self._settings, self._pool = settings, pool
+        self._words: Words = words or PlainWords()
         self.clock, self._alarms = clock, Alarms(loop, clock)
         self.watch: Watch | None = None
         self.observer: Observer | None = None
@@ -377,7 +398,7 @@
             finish(Result(Outcome.NOT_SENT))
             return
         remaining = exchange.deadline - exchange.began if opened else until - now
-        payload = message.payload(max(1, remaining // 1000))
+        payload = message.payload(max(1, remaining // 1000), action.upstream, number)
         wrote = None
         if self.observer is not None:
             wrote = partial(self.observer.attempt_written, exchange.request, number, action.upstream)
@@ -432,10 +453,11 @@
             self._stream_ended(exchange, result.outcome)
         elif result.outcome is Outcome.OK and not exchange.done:
             self._close(exchange, 200, now)
-            exchange.caller.answer(Reply(200, result.body, result.content_type))
+            exchange.caller.answer(self._words.served(result))
         elif exchange.done and exchange.out == 0:
             self._exchanges.pop(exchange.id, None)
         if result.outcome is not Outcome.OK:
+            exchange.last = result if result.answer is not None else exchange.last
             log.debug(
                 "%s/%d to %s: %s, %d us", exchange.id, number, attempt.row.upstream, result.outcome, latency
             )
@@ -506,13 +528,13 @@
             self._close(exchange, status)
             left = exchange.deadline - self.clock.now()
             log.debug("%s: answered %d, %d us before its deadline", request, status, left)
-            exchange.caller.answer(Reply(status, retry_after=retry_after, ran=exchange.ran()))
+            exchange.caller.answer(self._words.unserved(status, retry_after, exchange.last, exchange.ran()))
 
     def _overdue(self, exchange: Exchange) -> None:
         """The deadline, with no answer from the module: the caller still gets its one answer in time."""
         if not exchange.done:
             self._close(exchange, OVERDUE)
-            exchange.caller.answer(Reply(OVERDUE, ran=exchange.ran()))
+            exchange.caller.answer(self._words.unserved(OVERDUE, 0, None, exchange.ran()))
             self._post(ClientGone(exchange.id))
 
     # --- the rest
--- a/brackengate/net/server.py
+++ b/brackengate/net/server.py
@@ -55,18 +55,17 @@
         ready: Callable[[], bool] | None = None,
         bytes_: ByteBudget | None = None,
         once: Collection[bytes] = ALWAYS_ONCE,
+        bare: bool = False,
     ) -> None:
         """`sockets`: bound, and the server's from here on.  `room`: the most callers that the memory has
         room for.  `fronts`: by path, in place of the platform's own or beside them.  `door`: a stage before
         the node.  `crowd`: a bound on one network's connections.  `ready`: what `/ready` says, in
-        place of whether an upstream serves.  `once`: headers that may stand once in a request."""
+        place of whether an upstream serves.  `once`: headers that may stand once in a request.
+        `bare`: there are no fronts but those that are given."""
         self.loop, self.node, self._budget = loop, node, budget
         self.door: Door = door or node
-        self.fronts: Mapping[bytes, Front] = {
-            API: Api(node),
-            READY: Ready(ready or self._ready),
-            **(fronts or {}),
-        }
+        own: dict[bytes, Front] = {} if bare else {API: Api(node), READY: Ready(ready or self._ready)}
+        self.fronts: Mapping[bytes, Front] = {**own, **(fronts or {})}
         self.draining = False  # callers are asked to go
         self._asked_at = 0  # since when
         self.once = once
--- a/brackengate/net/upstream.py
+++ b/brackengate/net/upstream.py
@@ -50,6 +50,7 @@
     content_type: bytes = b""
     load: LoadReport | None = None
     stale: bool = False  # lost with a connection that had stood idle
+    answer: machine.Answered | None = None  # as it came, where whoever judges answers keeps it
 
 
 def monotonic_us() -> int:
@@ -102,6 +103,9 @@
     return Result(outcome, answer.body, fields.get(b"content-type", b""), load)
 
 
+Judge = Callable[[bytes, machine.Answered], Result]  # what a request's payload and its whole answer mean
+
+
 class Job:
     """One exchange with an upstream.  It ends exactly once, with `done`."""
 
@@ -357,12 +361,16 @@
         job, self._job = self._job, None
         self._hold_back(False)  # the caller may not have taken the last piece; the next answer is another's
         self.settles = job is None or not job.probe
-        if answer.reuse and not self.closing:
+        result = self.pool.judge(job.payload, answer) if job is not None else None
+        astray = (
+            result is not None and result.outcome is Outcome.RESET
+        )  # another one's answer: so may the next be
+        if answer.reuse and not self.closing and not astray:
             self.pool.put_back(self, now)  # before `done`: what it starts may use this connection
         else:
             self.drop()
-        if job is not None:
-            job.finish(result_of(answer))
+        if job is not None and result is not None:
+            job.finish(result)
 
     def break_off(self) -> None:
         """The exchange ends here as if the connection had broken."""
@@ -394,8 +402,12 @@
         idle_close_s: float,
         bytes_: ByteBudget | None = None,
         wire: Wire | None = None,
+        judge: Judge = lambda _, answer: result_of(answer),
+        settle: int = SETTLE,
     ) -> None:
-        """`wire`: what it stands on, in place of the machine's clock and sockets."""
+        """`wire`: what it stands on, in place of the machine's clock and sockets.  `judge`: says what a whole
+        answer means.  `settle`: how long a connection rests after an answer, in microseconds."""
+        self.judge, self._settle = judge, settle
         self.bytes = bytes_ or ByteBudget(MAX_STREAM)
         self.now = wire.now if wire is not None else monotonic_us
         self._new_socket = wire.socket if wire is not None else unconnected
@@ -429,7 +441,7 @@
         the work, are held to settle at once.
         """
         job, now = Job(payload, done, probe, wrote, body, begun), self.now()
-        settled, trusted = now - SETTLE, now - self._trusted(now)
+        settled, trusted = now - self._settle, now - self._trusted(now)
         for connection in self._idle.get(name, [])[::-1]:
             if connection.settles and connection.idle_since > settled:
                 continue
--- /dev/null
+++ b/brackengate/pilot/follow.py
@@ -0,0 +1,200 @@
+"""A pilot's link to the lighthouses: it follows the log of changes, and asks.
+
+Nearest first: a member in its own zone, then the others in an order of its own (rendezvous hashing), so that those
+who lose theirs do not all go to the same one.  Silence, a broken connection or `Away` moves it on.  Asks that have
+no answer are asked again wherever it goes: each says what is wanted, so again does no harm.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import logging
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from brackengate.net.sockets import parse_address
+from brackengate.pilot.table import Table
+from brackengate.signals.lines import Dialer
+from brackengate.signals.words import Ask, Asked, Away, Changes, Core, Done, Follow, Hello, Line, Snapshot
+
+log = logging.getLogger("brackengate.follow")
+
+SILENT = 1_300_000  # a member beats every 0.4 s
+PAUSE_S = 0.1
+HOME_S = 4.0  # between two looks whether a nearer member is there again
+
+
+def order(me: str, zone: str, members: Iterable[tuple[str, str]]) -> list[str]:
+    """The members as this pilot would follow them: its own zone's first, then by rendezvous hashing."""
+
+    def rank(member: tuple[str, str]) -> tuple[bool, bytes]:
+        addr, its_zone = member
+        return its_zone != zone, hashlib.blake2b(f"{me}|{addr}".encode(), digest_size=8).digest()
+
+    return [addr for addr, _ in sorted(set(members), key=rank)]
+
+
+@dataclass(slots=True, eq=False)
+class Question:
+    what: Ask
+    done: Callable[[Any], None]
+    timer: asyncio.TimerHandle
+
+
+class Link:
+    """One connection to one member, and whether it has said anything of use."""
+
+    def __init__(self, follow: Following, addr: str) -> None:
+        self.addr, self._follow = addr, follow
+        self.heard = follow.now()
+        self.good = False
+        host = parse_address(addr)[0]
+        self._dialer = Dialer((host, follow.port), self._line, self._opened, self._ended, tries=1)
+
+    def send(self, word: Line) -> None:
+        self._dialer.send(word)
+
+    def close(self) -> None:
+        self._dialer.close()
+
+    def _opened(self, dialer: Dialer) -> None:
+        self.heard = self._follow.now()
+        dialer.send(Hello(self._follow.me, pilot=True))
+        dialer.send(Follow(self._follow.table.place))
+
+    def _line(self, word: Line) -> None:
+        self.heard = self._follow.now()
+        self._follow.line(self, word)
+
+    def _ended(self) -> None:
+        self._follow.lost(self, "the connection ended")
+
+
+class Following:
+    def __init__(
+        self,
+        me: str,
+        zone: str,
+        port: int,
+        seeds: Callable[[], Iterable[str]],
+        table: Table,
+        changed: Callable[[set[str]], None],
+        now: Callable[[], int],
+    ) -> None:
+        """`seeds`: asked again whenever nobody else is known who answers.  `changed`: told what kinds of rows
+        have changed, once the table has them."""
+        self.me, self.zone, self.port, self.table, self.now = me, zone, port, table, now
+        self._seeds, self._changed = seeds, changed
+        self._members: dict[str, str] = {}
+        self._link: Link | None = None  # followed, or being tried
+        self._home: Link | None = None  # a nearer one, being tried beside it
+        self._turn: list[str] = []
+        self._questions: dict[int, Question] = {}
+        self._last = 0
+        self._closed = False
+        self._loop = asyncio.get_running_loop()
+
+    def start(self) -> None:
+        self._next()
+        self._watch()
+        self._loop.call_later(HOME_S, self._look_home)
+
+    def close(self) -> None:
+        self._closed = True
+        for link in (self._link, self._home):
+            if link is not None:
+                link.close()
+
+    @property
+    def in_touch(self) -> bool:
+        return self._link is not None and self._link.good
+
+    # --- asking
+
+    def ask(self, what: Ask, done: Callable[[Any], None], within_s: float) -> None:
+        """`done` is called once, with None where no answer came in time."""
+        self._last += 1
+        number = self._last
+        timer = self._loop.call_later(within_s, self._unanswered, number)
+        self._questions[number] = Question(what, done, timer)
+        if self._link is not None and self._link.good:
+            self._link.send(Asked(number, what))
+
+    def _unanswered(self, number: int) -> None:
+        question = self._questions.pop(number, None)
+        if question is not None:
+            question.done(None)
+
+    # --- following
+
+    def _next(self) -> None:
+        """Try the next member in turn."""
+        if self._closed:
+            return
+        if not self._turn:
+            known = {**dict.fromkeys(self._seeds(), ""), **self._members}
+            self._turn = order(self.me, self.zone, known.items())
+        if not self._turn:
+            self._loop.call_later(PAUSE_S, self._next)
+            return
+        self._link = Link(self, self._turn.pop(0))
+
+    def lost(self, link: Link, why: str) -> None:
+        link.close()
+        if link is self._home:
+            self._home = None
+        elif link is self._link:
+            if link.good:
+                log.info("follow: left %s: %s", link.addr, why)
+                self._turn = []
+            self._link = None
+            self._loop.call_later(PAUSE_S if not self._turn else 0.0, self._next)
+
+    def _watch(self) -> None:
+        if self._closed:
+            return
+        self._loop.call_later(0.25, self._watch)
+        for link in (self._link, self._home):
+            if link is not None and self.now() - link.heard > SILENT:
+                self.lost(link, "silence")
+
+    def _look_home(self) -> None:
+        if self._closed:
+            return
+        self._loop.call_later(HOME_S, self._look_home)
+        best = order(self.me, self.zone, self._members.items())[:1]
+        if self._link is not None and self._link.good and self._home is None and best:
+            if self._members[best[0]] == self.zone and self._link.addr != best[0]:
+                self._home = Link(self, best[0])
+
+    def line(self, link: Link, word: Line) -> None:
+        if isinstance(word, Away):
+            self.lost(link, "it is out of touch")
+        elif isinstance(word, Core):
+            self._members = dict(word.members)
+        elif isinstance(word, Done):
+            question = self._questions.pop(word.id, None)
+            if question is not None:
+                question.timer.cancel()
+                question.done(word.result)
+        elif isinstance(word, Snapshot | Changes):
+            if not link.good:
+                self._followed(link)
+            take = self.table.snapshot if isinstance(word, Snapshot) else self.table.changes
+            changed = take(word.place, word.rows)
+            if changed:
+                self._changed(changed)
+
+    def _followed(self, link: Link) -> None:
+        """It is in touch: what was asked is asked again there."""
+        link.good = True
+        if link is self._home:
+            old, self._link, self._home = self._link, link, None
+            if old is not None:
+                old.close()
+        self._turn = []
+        log.info("follow: %s, from place %d", link.addr, self.table.place)
+        for number, question in self._questions.items():
+            link.send(Asked(number, question.what))
--- /dev/null
+++ b/brackengate/pilot/gate.py
@@ -0,0 +1,154 @@
+"""The gate beside an upstream: which requests may reach it, and which operation runs here.  Pure.
+
+Only the pilot on its machine reaches an upstream, so what is turned away here reaches none: it has not run and never
+will.  The gate knows the upstream's present life and state from its beats, whatever the core knows.
+Times are microseconds of a steady clock.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from enum import Enum
+
+from brackengate.signals.words import Instance
+
+SILENT_BEATS = 3.4  # an upstream that lets as many beats pass is taken for gone
+
+
+@dataclass(slots=True)
+class Beat:
+    """What an upstream says of itself."""
+
+    id: str
+    plant: str
+    state: str
+    capacity: int
+    warmup: int
+    count: int
+    zone: str = ""
+
+
+class Gate:
+    def __init__(self, zone: str, every: int, drain: int) -> None:
+        """`every`: between two beats.  `drain`: for which a leaving upstream still takes requests at the most."""
+        self.zone, self._every, self._drain = zone, every, drain
+        self.beat: Beat | None = None
+        self._heard = 0
+        self._left: set[str] = set()  # lives that have said that they end
+        self._drains_since = 0
+
+    def heard(self, beat: Beat, now: int) -> bool:
+        """Take a beat; False: a late one, or one of an earlier life, changes nothing."""
+        held = self.beat
+        if beat.id in self._left:
+            return False
+        if held is not None and held.id == beat.id:
+            if beat.count <= held.count and held.count > 0:
+                return False
+            if held.state == "draining":
+                beat.state = "draining"  # there is no way back
+        if beat.state == "draining" and (held is None or held.id != beat.id or held.state != "draining"):
+            self._drains_since = now
+        if held is not None and held.id != beat.id:
+            self._left.add(held.id)
+        self.beat, self._heard = beat, now
+        return True
+
+    def probed(self, id_: str, well: bool, plant: str, now: int) -> None:
+        """What an upstream's health answer says, where no beat has come since this process began."""
+        if self.beat is None and well:
+            self.beat, self._heard = Beat(id_, plant, "ready", 1, 0, 0, self.zone), now
+
+    def leaves(self, id_: str) -> None:
+        self._left.add(id_)
+        if self.beat is not None and self.beat.id == id_:
+            self.beat = None
+
+    def ended(self, id_: str) -> bool:
+        """Whether this life has said that it ends."""
+        return id_ in self._left
+
+    def silent(self, now: int) -> bool:
+        """Whether it has missed beats for so long that it is taken for gone."""
+        return self.beat is not None and now - self._heard > SILENT_BEATS * self._every
+
+    def admits(self, wanted: str, now: int) -> str:
+        """Why a request for this life of the upstream may not reach it; empty: it may."""
+        beat = self.beat
+        if beat is None:
+            return "nobody is known here"
+        if wanted != beat.id:
+            return "another life"
+        if beat.state == "draining" and now - self._drains_since >= self._drain // 2:
+            return "draining"
+        return ""
+
+    def report(self, now: int) -> Instance | None:
+        """What the core should know; None: nothing yet."""
+        beat = self.beat
+        if beat is None:
+            return None
+        state = "gone" if self.silent(now) else beat.state
+        return Instance(beat.id, beat.plant, beat.zone or self.zone, state, beat.capacity, beat.warmup)
+
+
+class State(Enum):
+    CLAIMING = "claiming"
+    RUNNING = "running"
+    DONE = "done"  # its answer is kept
+    UNRUN = "unrun"  # claimed here, and not run
+    LOST = "lost"  # it may have run, and nobody knows with which outcome
+    ELSEWHERE = "elsewhere"  # another gate has it
+
+
+@dataclass(slots=True, eq=False)
+class Operation:
+    """What is known here of one operation key."""
+
+    key: str
+    attempt: str  # the claim's
+    state: State
+    since: int
+    answer: object = None
+    size: int = 0
+    holder: str = ""  # the other gate
+    waiters: list[object] = field(default_factory=list)
+
+
+class Operations:
+    """Bounded in time and bytes.  What is forgotten here is still claimed at the core: it never runs again."""
+
+    def __init__(self, window: int, most_bytes: int) -> None:
+        self._window, self._most = window, most_bytes
+        self._held: OrderedDict[str, Operation] = OrderedDict()
+        self._bytes = 0
+
+    def get(self, key: str, now: int) -> Operation | None:
+        self._trim(now)
+        return self._held.get(key)
+
+    def begin(self, key: str, attempt: str, now: int) -> Operation:
+        operation = self._held[key] = Operation(key, attempt, State.CLAIMING, now)
+        return operation
+
+    def keep(self, operation: Operation, answer: object, size: int) -> None:
+        operation.state, operation.answer, operation.size = State.DONE, answer, size + 200
+        if self._held.get(operation.key) is operation:
+            self._bytes += operation.size
+
+    def drop(self, operation: Operation) -> None:
+        if self._held.get(operation.key) is operation:
+            del self._held[operation.key]
+            self._bytes -= operation.size
+
+    def __len__(self) -> int:
+        return len(self._held)
+
+    def _trim(self, now: int) -> None:
+        while self._held:
+            oldest = next(iter(self._held.values()))
+            busy = oldest.state in (State.CLAIMING, State.RUNNING)
+            if busy or (now - oldest.since <= 2 * self._window and self._bytes <= self._most):
+                return
+            self.drop(oldest)
--- /dev/null
+++ b/brackengate/pilot/hop.py
@@ -0,0 +1,103 @@
+"""What one pilot says to the next about a request, beside the request itself.  Pure.
+
+One header each way, `X-Brackengate-Hop`.  It is the pilots' own: one that a client or an upstream sends is dropped.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from enum import Enum
+
+from brackengate.http.message import Arrival
+from brackengate.http.upstream import Answered
+from brackengate.net.node import Reply
+
+ATTEMPT = b"X-Brackengate-Attempt-Id"
+DEADLINE = b"X-Brackengate-Deadline-Ms"
+KEY = b"X-Brackengate-Operation-Key"
+SEAL = b"X-Brackengate-Server-Seal"
+TARGET = b"X-Brackengate-Target-Instance"
+UNRUN = b"X-Brackengate-Not-Executed"
+CALLER = b"X-Brackengate-Caller-Service"
+HOP = b"X-Brackengate-Hop"
+
+HOP_BY_HOP = frozenset(
+    b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade expect content-length".split()
+)
+_STEP = re.compile(rb"([srk]) ([0-9]{1,4}) ([!-~]{1,200})")
+
+
+class Said(Enum):
+    """What became of a request at a gate."""
+
+    RAN = b"ran"  # the upstream's own answer
+    AWAY = b"away"  # turned away at the gate: it has not run and never will
+    UNCLAIMED = b"unclaimed"  # its key could not be claimed in time: it has not run and never will
+    SHED = b"shed"  # the upstream turned it away
+    UNREACHED = b"unreached"  # no connection to the upstream: it has not run
+    BROKEN = b"broken"  # the connection broke behind the request
+    SPOILT = b"spoilt"  # what came back was no answer to it
+    LATE = b"late"  # its time was up
+    BUSY = b"busy"  # another try of its operation is at work
+    UNKNOWN = b"unknown"  # what became of its operation is not known; this try has not run
+
+
+_SAID = {said.value: said for said in Said}
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """From a way out to a gate, or from a gate to another one that holds the key."""
+
+    instance: str
+    keyed: bool
+    number: int = 0
+    replay: bool = False
+
+    def lines(self) -> bytes:
+        kind = b"r" if self.replay else b"k" if self.keyed else b"s"
+        name = self.instance.encode("latin-1", "replace")
+        return b"%s: %s %d %s\r\n" % (HOP, kind, self.number, name)
+
+
+def step_of(fields: dict[bytes, bytes]) -> Step | None:
+    found = _STEP.fullmatch(fields.get(HOP.lower(), b""))
+    if found is None:
+        return None
+    return Step(found[3].decode("latin-1"), found[1] != b"s", int(found[2]), found[1] == b"r")
+
+
+def hop_of(fields: dict[bytes, bytes]) -> Said | None:
+    return _SAID.get(fields.get(HOP.lower(), b""))
+
+
+def forwarded(arrival: Arrival, drop: tuple[bytes, ...]) -> bytes:
+    """A request's head as it goes on, without the headers of one connection and those that are dropped."""
+    dropped = HOP_BY_HOP | {name.lower() for name in drop}
+    named = arrival.fields.get(b"connection")
+    if named is not None:
+        dropped |= {token.strip().lower() for token in named.split(b",")} - {
+            b"host",
+            ATTEMPT.lower(),
+            KEY.lower(),
+        }
+    lines = [b"%s %s HTTP/1.1" % (arrival.method, arrival.target)]
+    lines += [b"%s: %s" % (name, value) for name, value in arrival.headers if name.lower() not in dropped]
+    if arrival.stream is not None and arrival.stream.length is None:
+        lines.append(b"Transfer-Encoding: chunked")
+    elif arrival.stream is not None:
+        lines.append(b"Content-Length: %d" % (arrival.stream.length or 0))
+    elif arrival.body or arrival.method not in (b"GET", b"HEAD"):
+        lines.append(b"Content-Length: %d" % len(arrival.body))
+    return b"\r\n".join(lines) + b"\r\n"
+
+
+def passed_on(answer: Answered, drop: tuple[bytes, ...] = (HOP,), add: bytes = b"") -> Reply:
+    """An answer as it goes back."""
+    dropped = HOP_BY_HOP | {name.lower() for name in drop}
+    named = answer.fields.get(b"connection")
+    if named is not None:
+        dropped |= {token.strip().lower() for token in named.split(b",")}
+    extra = [b"%s: %s\r\n" % (name, value) for name, value in answer.headers if name.lower() not in dropped]
+    return Reply(answer.status, answer.body, extra=b"".join(extra) + add)
--- /dev/null
+++ b/brackengate/pilot/role.py
@@ -0,0 +1,205 @@
+"""The pilot as a process: what is wanted, and the loops that bring it about.  Decides nothing.
+
+Outbound   way.py      requests that begin on this machine: route, service, choice, another pilot
+Inbound    entry.py    requests from pilots: gate, key, the upstream beside this one
+Control    beats.py    the upstream's beats
+lighthouse follow.py   the log of changes in; reports and claims out
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import random
+import resource
+import signal
+from collections.abc import Iterable
+
+import msgspec
+
+from brackengate.net.node import Clock
+from brackengate.net.server import Server
+from brackengate.net.sockets import Address, SocketBudget, bind
+from brackengate.net.upstream import Pool
+from brackengate.pilot.beats import Beats
+from brackengate.pilot.entry import Entry, own_judge
+from brackengate.pilot.follow import Following
+from brackengate.pilot.gate import Beat, Gate
+from brackengate.pilot.table import Table
+from brackengate.pilot.way import WayOut, judge
+from brackengate.signals import settings as files
+from brackengate.signals.door import Readiness, listener
+from brackengate.signals.settings import BadSettings, Settings, plain
+from brackengate.signals.words import Report
+
+log = logging.getLogger("brackengate.pilot")
+
+CONNECT_S = 0.25
+IDLE_S = 9.0  # kept connections; an upstream's own limit comes first where it says so
+REPORT_S = 0.25  # between two looks whether the core knows what this pilot knows
+REPORT_WITHIN_S = 1.0
+LAST_CALL = 0.55  # of the grace: clients still come until two looks at readiness have failed
+SPARE_S = 0.6  # of the grace, at its end
+
+
+class Pilot:
+    def __init__(self, settings: Settings, path: str) -> None:
+        self.settings, self._path = settings, path
+        loop = self._loop = asyncio.get_running_loop()
+        clock = self.clock = Clock()
+        rng = random.Random()
+        self._left: asyncio.Future[int] = loop.create_future()
+        self._leaving = False
+        descriptors = min(
+            settings.limits.file_limit - 250, resource.getrlimit(resource.RLIMIT_NOFILE)[0] - 100
+        )
+        self._budget = SocketBudget(max(64, descriptors))
+        inbound = plain(settings.listen.inbound, "Inbound")
+        self._port = inbound[1]
+        self.table = Table()
+        self.gate = Gate(settings.zone, settings.feedback, settings.bounds.drain)
+        self._peers = Pool(loop, self._budget, CONNECT_S, IDLE_S, judge=judge, settle=0)
+        self._own = Pool(loop, self._budget, CONNECT_S, IDLE_S, judge=own_judge)
+        self.following = Following(
+            settings.ip,
+            settings.zone,
+            settings.lighthouse_port,
+            self._seeds,
+            self.table,
+            self._changed,
+            clock.now,
+        )
+        self.way = WayOut(loop, clock, self._peers, self.table, settings.plant, self._address_of, rng)
+        self.entry = Entry(
+            loop,
+            clock,
+            self._own,
+            self.gate,
+            settings.ip,
+            plain(settings.application, "Application") if settings.application else inbound,
+            settings.bounds.dedupe_window,
+            self.following.ask,
+            self._peers,
+            self._address_of,
+        )
+        listen = settings.listen
+        self._clients = listener(
+            loop, clock, [bind(plain(listen.outbound, "Outbound"))], self.way, self._budget
+        )
+        self._gate_door = listener(loop, clock, [bind(inbound)], self.entry, self._budget)
+        readiness = Readiness(lambda: self.ready)
+        self._others: list[Server] = [
+            listener(loop, clock, [bind(plain(listen.readiness, "Readiness"))], readiness, self._budget),
+            listener(
+                loop,
+                clock,
+                [bind(plain(listen.control, "Control"))],
+                Beats(self._beat, self._leave),
+                self._budget,
+            ),
+        ]
+        self._reporting = False
+
+    @property
+    def ready(self) -> bool:
+        return self.table.known and not self._leaving
+
+    def _address_of(self, machine: str) -> Address:
+        return machine, self._port
+
+    def _seeds(self) -> Iterable[str]:
+        """As the file names them now: they may have changed without a signal."""
+        try:
+            self.settings = files.load(self._path)
+        except BadSettings as error:
+            log.warning("pilot: the settings stay as they are: %s", error)
+        return [f"{host}:{port}" for host, port in self.settings.seeds]
+
+    # --- life
+
+    async def run(self) -> int:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(number, self._stop)
+        self._loop.add_signal_handler(signal.SIGHUP, self._seeds)
+        self.following.start()
+        for server in (self._clients, self._gate_door, *self._others):
+            server.start()
+        self._report()
+        gc.collect()
+        gc.freeze()
+        log.info("pilot: %s is up beside %s", self.settings.ip, self.settings.plant or "nobody")
+        return await self._left
+
+    def _stop(self) -> None:
+        """Leave in order: clients and pilots are asked to go, what is held is answered, then the end."""
+        if self._leaving:
+            return
+        self._leaving = True
+        log.info("pilot: leaving, with %d requests held", self.way.held() + len(self.entry.visits))
+        for server in (self._clients, self._gate_door):
+            server.ask_to_go(True)
+        grace = self.settings.bounds.grace / 1e6
+        self._loop.call_later(
+            grace * LAST_CALL, self._look_out, self._loop.time() + grace * (1 - LAST_CALL) - SPARE_S
+        )
+
+    def _look_out(self, until: float) -> None:
+        held = self.way.held() + len(self.entry.visits)
+        if held and self._loop.time() < until:
+            self._loop.call_later(0.02, self._look_out, until)
+            return
+        log.info("pilot: left, with %d requests held", held)
+        self.following.close()
+        if not self._left.done():
+            self._left.set_result(0)
+
+    # --- the upstream beside it
+
+    def _beat(self, beat: Beat) -> None:
+        before = self.gate.beat
+        self.gate.heard(beat, self.clock.now())
+        if before is not None and before.id != beat.id:
+            self._own.release(before.id)
+        self._reconcile()
+
+    def _leave(self, id_: str) -> None:
+        self.gate.leaves(id_)
+        self._own.release(id_)
+        self._reconcile()
+
+    def _report(self) -> None:
+        self._loop.call_later(REPORT_S, self._report)
+        self._reconcile()
+
+    def _reconcile(self) -> None:
+        """Wanted: that the core's row of this machine says what the gate knows."""
+        me, wanted = self.settings.ip, self.gate.report(self.clock.now())
+        known = self.table.instances.get(me)
+        if wanted is None:
+            if (
+                known is None
+                or known.state == "gone"
+                or (self.gate.beat is None
+                and not self.gate.ended(known.id))
+            ):
+                return
+            wanted = msgspec.structs.replace(known, state="gone")
+        same = known is not None and (known.id, known.state) == (wanted.id, wanted.state)
+        if same or self._reporting or not self.following.in_touch:
+            return
+        self._reporting = True
+        self.following.ask(Report(me, msgspec.to_builtins(wanted)), self._reported, REPORT_WITHIN_S)
+
+    def _reported(self, result: object) -> None:
+        self._reporting = False
+
+    # --- what is followed
+
+    def _changed(self, kinds: set[str]) -> None:
+        self.way.changed(kinds)
+        self._reconcile()
+
+
+async def serve(settings: Settings, path: str) -> int:
+    return await Pilot(settings, path).run()
--- /dev/null
+++ b/brackengate/pilot/table.py
@@ -0,0 +1,107 @@
+"""What a pilot follows: routes, services and upstreams, as rows with versions.  Pure."""
+
+from __future__ import annotations
+
+import bisect
+from collections.abc import Iterable
+
+import msgspec
+
+from brackengate.signals.items import Invalid, Item, Part, Plant, Route, plant, route
+from brackengate.signals.words import ITEMS, Instance, Row
+
+
+class Table:
+    """Never goes from a newer version of an item to an older one, whichever lighthouse says what."""
+
+    def __init__(self) -> None:
+        self.place = -1  # of the log of changes; -1: nothing is known yet
+        self._items: dict[tuple[str, str], Item] = {}
+        self.plants: dict[str, Plant] = {}
+        self.instances: dict[str, Instance] = {}  # by machine
+        self._routes: dict[str, Route] = {}
+        self._hosts: dict[str, dict[str, Route]] = {}  # by host and prefix
+
+    @property
+    def known(self) -> bool:
+        return self.place >= 0
+
+    def snapshot(self, place: int, rows: Iterable[Row]) -> set[str]:
+        """As `changes`, and what is not named is gone.  An older one than what is held is left alone."""
+        if place < self.place:
+            return set()
+        rows = list(rows)
+        named = {name for kind, name, _ in rows if kind == "inst"}
+        gone: list[Row] = [("inst", name, None) for name in self.instances if name not in named]
+        return self.changes(place, [*rows, *gone])
+
+    def changes(self, place: int, rows: Iterable[Row]) -> set[str]:
+        """Take rows up to a place; the kinds of what they changed."""
+        changed: set[str] = set()
+        if place <= self.place and self.place >= 0:
+            return changed
+        self.place = place
+        for kind, name, value in rows:
+            if kind in ITEMS:
+                if self._item(kind, name, msgspec.convert(value, Item)):
+                    changed.add(kind)
+            elif kind == "inst":
+                changed.add(kind)
+                if value is None:
+                    self.instances.pop(name, None)
+                else:
+                    self.instances[name] = msgspec.convert(value, Instance)
+        if "route" in changed:
+            self._hosts = {}
+            for one in self._routes.values():
+                self._hosts.setdefault(one.host, {})[one.prefix] = one
+        return changed
+
+    def _item(self, kind: str, name: str, item: Item) -> bool:
+        held = self._items.get((kind, name))
+        if held is not None and held.version >= item.version:
+            return False
+        self._items[kind, name] = item
+        try:
+            if kind == "route":
+                self._routes.pop(name, None)
+                if item.body is not None:
+                    self._routes[name] = route(item)
+            elif kind == "plant":
+                self.plants.pop(name, None)
+                if item.body is not None:
+                    self.plants[name] = plant(item)
+        except Invalid:  # the lighthouses check; one that a newer program let in is not followed
+            pass
+        return True
+
+    def routes(self) -> Iterable[Route]:
+        return self._routes.values()
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Of the host's routes the one with the longest prefix that begins the path; prefixes end with a slash."""
+        prefixes = self._hosts.get(host, {})
+        end = path.rfind("/") + 1
+        while end > 0:
+            found = prefixes.get(path[:end])
+            if found is not None:
+                return found
+            end = path.rfind("/", 0, end - 1) + 1
+        return None
+
+
+def choose(parts: tuple[Part, ...], at: float) -> str:
+    """The service at a place between 0 and 1 of the weights laid side by side."""
+    ends: list[float] = []
+    total = 0.0
+    for part in parts:
+        total += part.gain
+        ends.append(total)
+    return parts[min(bisect.bisect_right(ends, at * total), len(parts) - 1)].plant
+
+
+def host_of(value: bytes) -> str:
+    """The name in a Host header, without its port."""
+    text = value.decode("latin-1").lower()
+    name, colon, port = text.rpartition(":")
+    return name if colon and port.isdigit() else text
--- /dev/null
+++ b/brackengate/pilot/way.py
@@ -0,0 +1,219 @@
+"""The way out: requests that begin on this machine, by route and service to a pilot beside an upstream."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import zlib
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from functools import partial
+
+from brackengate.brain import Balancer
+from brackengate.http.message import Arrival, Bad
+from brackengate.http.upstream import Answered
+from brackengate.interface import (
+    Earlier,
+    Endpoint,
+    Idempotency,
+    Lifecycle,
+    ListKind,
+    Outcome,
+    Request,
+    RequestClass,
+    Settings,
+)
+from brackengate.net.http import CallerConnection
+from brackengate.net.node import OVERDUE, REFUSED, Clock, Message, Node, Reply
+from brackengate.net.sockets import Address
+from brackengate.net.upstream import Pool, Result
+from brackengate.pilot.hop import CALLER, DEADLINE, HOP, KEY, Said, Step, forwarded, hop_of, passed_on
+from brackengate.pilot.table import Table, choose, host_of
+from brackengate.signals.door import MOST_BODY
+from brackengate.signals.items import Route
+from brackengate.signals.words import Instance
+
+log = logging.getLogger("brackengate.way")
+
+COLD_TIME = 3_000_000
+CONFLICT = 409
+TIER = 1  # deadlines are the callers' own: the module keeps no part of them back
+RETRY_AFTER = 250_000  # told where nothing better is known: an upstream that was full has moved on by then
+
+
+@dataclass(slots=True)
+class Outgoing(Message):
+    """A request on its way to another pilot: the target and the time that is left differ with each attempt."""
+
+    keyed: bool = False
+
+    def payload(self, remaining_ms: int, upstream: str, number: int) -> bytes:
+        step = Step(upstream, self.keyed, number)
+        return b"%s%s%s: %d\r\n\r\n%s" % (self.head, step.lines(), DEADLINE, remaining_ms, self.body)
+
+
+def judge(payload: bytes, answer: Answered) -> Result:
+    """What a gate's answer means to the module."""
+    said = hop_of(answer.fields)
+    if said is Said.RAN:
+        outcome = Outcome.OK if answer.status < 500 else Outcome.ERROR
+    elif said in (Said.AWAY, Said.UNCLAIMED):
+        outcome = Outcome.NOT_SENT
+    elif said is Said.SHED:
+        outcome = Outcome.REJECTED
+    elif said is Said.UNREACHED:
+        outcome = Outcome.CONNECT_FAILED
+    elif said is Said.BROKEN:
+        outcome = Outcome.RESET
+    else:
+        outcome = Outcome.ERROR
+    return Result(outcome, answer=answer)
+
+
+class MeshWords:
+    """Upstreams' answers go back as they are; refusals say when to come back."""
+
+    def served(self, result: Result) -> Reply:
+        answer = result.answer
+        assert answer is not None
+        return passed_on(answer)
+
+    def unserved(self, status: int, retry_after: int, last: Result | None, ran: Sequence[Earlier]) -> Reply:
+        answer = last.answer if last is not None else None
+        if answer is not None and hop_of(answer.fields) is Said.RAN and status != OVERDUE:
+            return passed_on(answer)
+        said = hop_of(answer.fields) if answer is not None else None
+        if said is Said.BUSY:
+            return Reply(CONFLICT)
+        if status == REFUSED or (
+            said is Said.UNKNOWN and len(ran) <= 1
+        ):  # this try has not run, and will not
+            return Reply(REFUSED, retry_after=retry_after or RETRY_AFTER)
+        return Reply(status)
+
+
+class Service:
+    """The upstreams of one service, and the module that chooses among them."""
+
+    def __init__(
+        self, name: str, loop: asyncio.AbstractEventLoop, clock: Clock, pool: Pool, seed: int
+    ) -> None:
+        self.name, self._clock = name, clock
+        settings = Settings(
+            classes=(),
+            tier=TIER,
+            cold_share=0.4,
+            cold_time=COLD_TIME,
+            max_attempts=3,
+            connect_timeout=200_000,
+            max_retry_after=RETRY_AFTER,
+        )
+        self.module = Balancer(settings, seed)
+        self.node = Node(loop, clock, settings, self.module, pool, MeshWords())
+        self._started: dict[str, int] = {}  # when an upstream became known here, less what it had been up
+
+    def listed(self, rows: list[tuple[str, Instance, Address]]) -> None:
+        now = self._clock.now()
+        named = {instance.id for _, instance, _ in rows}
+        self._started = {id_: at for id_, at in self._started.items() if id_ in named}
+        said: list[tuple[Endpoint, Address]] = []
+        for _, instance, address in rows:
+            started = self._started.get(instance.id)
+            if started is None:
+                started = now - COLD_TIME + instance.warmup if instance.warmup > 0 else 0
+                self._started[instance.id] = started
+            state = Lifecycle.SERVING if instance.state == "ready" else Lifecycle.DRAINING
+            row = Endpoint(
+                instance.id,
+                instance.zone,
+                state=state,
+                weight=float(max(1, instance.capacity)),
+                started_at=started,
+            )
+            said.append((row, address))
+        self.node.listed(ListKind.FULL, said)
+
+    def classes(self, classes: dict[str, RequestClass]) -> None:
+        self.module.classes = classes
+        self.node.classes = classes
+
+
+class WayOut:
+    """The front of `Outbound`."""
+
+    most_body = MOST_BODY
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        clock: Clock,
+        pool: Pool,
+        table: Table,
+        plant: str,
+        address_of: Callable[[str], Address],
+        rng: random.Random,
+    ) -> None:
+        """`plant`: the service beside this pilot.  `address_of`: where the pilot of a machine is reached."""
+        self._loop, self._clock, self._pool, self._table = loop, clock, pool, table
+        self._plant, self._address_of, self._rng = plant.encode(), address_of, rng
+        self.services: dict[str, Service] = {}
+        self._count = 0
+
+    # --- what the table says
+
+    def changed(self, kinds: set[str]) -> None:
+        table = self._table
+        if "route" in kinds or "plant" in kinds:
+            classes: dict[str, dict[str, RequestClass]] = {}
+            for route in table.routes():
+                for part in route.parts:
+                    classes.setdefault(part.plant, {})[route.name] = _class_of(route)
+            for name in classes:
+                if name not in self.services:
+                    seed = self._rng.getrandbits(64)
+                    self.services[name] = Service(name, self._loop, self._clock, self._pool, seed)
+            for name, service in self.services.items():
+                service.classes(classes.get(name, {}))
+        rows: dict[str, list[tuple[str, Instance, Address]]] = {}
+        for machine, instance in table.instances.items():
+            if instance.state != "gone":
+                rows.setdefault(instance.plant, []).append((machine, instance, self._address_of(machine)))
+        for name, service in self.services.items():
+            service.listed(rows.get(name, []))
+
+    # --- requests
+
+    def begin(self, arrival: Arrival, connection: CallerConnection) -> None:
+        if not self._table.known:
+            raise Bad(503, "no configuration yet", b"Retry-After: 0.3\r\n")
+        host = host_of(arrival.fields.get(b"host", b""))
+        path = arrival.target.partition(b"?")[0].decode("latin-1")
+        route = self._table.find(host, path)
+        if route is None:
+            raise Bad(404, "no route")
+        service = self.services[self._choose(route, arrival)]
+        left = arrival.fields.get(DEADLINE.lower(), b"")
+        limit = min(int(left) * 1000, route.cutoff) if left.isdigit() and len(left) < 10 else route.cutoff
+        self._count += 1
+        request = Request(str(self._count), route.name, arrival.at + max(limit, 1000))
+        keyed = route.kind == "keyed" and KEY.lower() in arrival.fields
+        head = forwarded(arrival, drop=(CALLER, DEADLINE, HOP)) + b"%s: %s\r\n" % (CALLER, self._plant)
+        message = Outgoing(head, arrival.body, stream=arrival.stream, keyed=keyed)
+        connection.hold(partial(service.node.gone, request.request, connection))
+        service.node.submit(request, message, connection)
+
+    def _choose(self, route: Route, arrival: Arrival) -> str:
+        if len(route.parts) == 1:
+            return route.parts[0].plant
+        key = arrival.fields.get(KEY.lower())
+        at = zlib.crc32(key) / 2**32 if key else self._rng.random()  # a repeat goes where the first one went
+        return choose(route.parts, at)
+
+    def held(self) -> int:
+        return sum(service.node.out() for service in self.services.values())
+
+
+def _class_of(route: Route) -> RequestClass:
+    kind = Idempotency.REPEATABLE if route.kind == "idempotent" else Idempotency.UNSAFE
+    return RequestClass(route.name, min(route.setpoint, route.cutoff), route.cutoff, kind, late_worth=0.3)
--- /dev/null
+++ b/brackengate/signals/items.py
@@ -0,0 +1,270 @@
+"""The operator's items: routes, services (plants) and limits, each under a version of its own.  Pure.
+
+A call is read whole before anything of it counts; `Invalid` says which item and what is wrong with it.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import msgspec
+
+from brackengate.installation.units import duration
+
+MINUTE = 60_000_000
+REVISION = re.compile(r"r([0-9]{1,18})")
+KINDS = ("idempotent", "effectful", "keyed")
+
+Name = tuple[str, str]  # kind of item, name of item
+
+
+class Invalid(Exception):
+    """A configuration that must not be in force, in any part."""
+
+
+class Item(msgspec.Struct, frozen=True, array_like=True):
+    """One item under one version.  `body`: as it was sent; None: dropped."""
+
+    version: int
+    host: str = ""  # of a route
+    body: dict[str, Any] | None = None
+
+
+class Part(msgspec.Struct, frozen=True):
+    """A service among those that a route goes to, and its weight."""
+
+    plant: str
+    gain: float
+
+
+class Route(msgspec.Struct, frozen=True):
+    """A route as pilots use it; times in microseconds."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    cutoff: int
+    setpoint: int
+    priority: int
+    parts: tuple[Part, ...]
+    attempts: int
+
+
+class Plant(msgspec.Struct, frozen=True):
+    name: str
+    health: str
+    connections: int
+    deduplicates: bool
+
+
+class _Split(msgspec.Struct, rename="pascal"):
+    plant: str
+    gain: float
+
+
+class _Route(msgspec.Struct, rename="pascal"):
+    name: str
+    path_prefix: str
+    signal_kind: str
+    cutoff: str
+    revision: str
+    setpoint: str | None = None
+    priority: int = 0
+    plant: str | None = None
+    split: list[_Split] | None = None
+    max_attempts: int = 1
+
+
+class _Plant(msgspec.Struct, rename="pascal"):
+    name: str
+    revision: str
+    health_path: str = "/health"
+    conn_limit: int = 0
+    deduplicates: bool = False
+
+
+class _Limits(msgspec.Struct, rename="pascal"):
+    revision: str
+
+
+class _Host(msgspec.Struct, rename="pascal"):
+    host: str
+    paths: list[dict[str, Any]]
+
+
+class _Dropped(msgspec.Struct, rename="pascal"):
+    name: str
+    revision: str
+
+
+class _Apply(msgspec.Struct, rename="pascal"):
+    plants: list[dict[str, Any]] = []
+    limits: dict[str, Any] | None = None
+    hosts: list[_Host] = []
+
+
+class _Remove(msgspec.Struct, rename="pascal"):
+    routes: list[_Dropped] = []
+    plants: list[_Dropped] = []
+
+
+class _Call(msgspec.Struct, rename="pascal"):
+    apply: _Apply = msgspec.field(default_factory=_Apply)
+    remove: _Remove = msgspec.field(default_factory=_Remove)
+
+
+def _version(text: str) -> int:
+    found = REVISION.fullmatch(text)
+    if found is None:
+        raise Invalid(f"a version is r and a number, not {text[:40]!r}")
+    return int(found[1])
+
+
+def _time(text: str, what: str) -> int:
+    try:
+        return int(duration(text))
+    except ValueError as error:
+        raise Invalid(f"{what}: {error}") from None
+
+
+def route(item: Item) -> Route:
+    """Read a route's item; `Invalid` where it can't be one."""
+    try:
+        it = msgspec.convert(item.body, _Route)
+    except msgspec.ValidationError as error:
+        raise Invalid(f"a route: {error}") from None
+    where = f"route {it.name[:40]!r}"
+    if not it.name or not item.host:
+        raise Invalid(f"{where}: its name and its host must not be empty")
+    if not it.path_prefix.startswith("/"):
+        raise Invalid(f"{where}: PathPrefix must begin with a slash, not {it.path_prefix[:40]!r}")
+    if it.signal_kind not in KINDS:
+        raise Invalid(f"{where}: SignalKind is one of {', '.join(KINDS)}, not {it.signal_kind[:40]!r}")
+    cutoff = _time(it.cutoff, f"{where}: Cutoff")
+    setpoint = _time(it.setpoint, f"{where}: Setpoint") if it.setpoint is not None else cutoff
+    if setpoint - cutoff >= MINUTE:
+        raise Invalid(f"{where}: Setpoint is a minute or more above Cutoff")
+    if it.split:
+        parts = tuple(Part(one.plant, one.gain) for one in it.split)
+    elif it.plant:
+        parts = (Part(it.plant, 1.0),)
+    else:
+        raise Invalid(f"{where}: it names no service")
+    if any(not one.gain >= 0 for one in parts):
+        raise Invalid(f"{where}: a weight under 0")
+    if sum(one.gain for one in parts) <= 0:
+        raise Invalid(f"{where}: its weights add up to nothing")
+    if it.max_attempts < 1:
+        raise Invalid(f"{where}: MaxAttempts must be 1 or more")
+    return Route(
+        it.name,
+        item.host.lower(),
+        it.path_prefix,
+        it.signal_kind,
+        cutoff,
+        setpoint,
+        it.priority,
+        parts,
+        it.max_attempts,
+    )
+
+
+def plant(item: Item) -> Plant:
+    try:
+        it = msgspec.convert(item.body, _Plant)
+    except msgspec.ValidationError as error:
+        raise Invalid(f"a service: {error}") from None
+    if not it.name:
+        raise Invalid("a service without a name")
+    return Plant(it.name, it.health_path, it.conn_limit, it.deduplicates)
+
+
+def read_call(body: bytes) -> dict[Name, Item]:
+    """All that one call sets and drops, each item checked on its own; `Invalid` where any is not sound."""
+    try:
+        call: _Call = msgspec.json.decode(body, type=_Call)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise Invalid(f"the call cannot be read: {error}") from None
+    found: dict[Name, Item] = {}
+
+    def add(kind: str, name: str, item: Item) -> None:
+        if (kind, name) in found:
+            raise Invalid(f"{kind} {name[:40]!r} stands twice in one call")
+        found[kind, name] = item
+
+    def sound(kind: str, text: object, name: str, item: Item) -> None:
+        if not isinstance(text, str):
+            raise Invalid(f"{kind}: Revision is missing")
+        add(kind, name, Item(_version(text), item.host, item.body))
+
+    for raw in call.apply.plants:
+        item = Item(0, body=raw)
+        sound("plant", raw.get("Revision"), plant(item).name, item)
+    if call.apply.limits is not None:
+        sound("limits", call.apply.limits.get("Revision"), "", Item(0, body=call.apply.limits))
+    places: dict[tuple[str, str], str] = {}
+    for host in call.apply.hosts:
+        if not host.host:
+            raise Invalid("a Host is empty")
+        for raw in host.paths:
+            item = Item(0, host.host, raw)
+            it = route(item)
+            if places.setdefault((it.host, it.prefix), it.name) != it.name:
+                raise Invalid(f"two routes at {it.host}{it.prefix}")
+            sound("route", raw.get("Revision"), it.name, item)
+    for kind, dropped in (("route", call.remove.routes), ("plant", call.remove.plants)):
+        for one in dropped:
+            version = _version(one.revision)
+            held = found.get((kind, one.name))
+            if held is None or held.version < version:
+                found[kind, one.name] = Item(version)
+    return found
+
+
+def effect(call: Mapping[Name, Item], held: Mapping[Name, Item]) -> dict[Name, Item]:
+    """What of a call has effect on what is held: the highest version of a name holds.
+
+    `Invalid` where the outcome would hold two routes at one place, or a route to a service that is not known.
+    """
+    news = {
+        name: item for name, item in call.items() if name not in held or item.version > held[name].version
+    }
+    after = {**held, **news}
+    plants = {name for (kind, name), item in after.items() if kind == "plant" and item.body is not None}
+    places: dict[tuple[str, str], str] = {}
+    routes = [item for (kind, _), item in after.items() if kind == "route" and item.body is not None]
+    called = [item for (kind, _), item in call.items() if kind == "route" and item.body is not None]
+    for it in map(route, routes):
+        if places.setdefault((it.host, it.prefix), it.name) != it.name:
+            raise Invalid(f"two routes at {it.host}{it.prefix}")
+    for it in map(route, [*routes, *called]):
+        for part in it.parts:
+            if part.plant not in plants:
+                raise Invalid(
+                    f"route {it.name[:40]!r} names the service {part.plant[:40]!r}, which is not known"
+                )
+    return news
+
+
+def layout(items: Iterable[tuple[Name, Item]]) -> dict[str, Any]:
+    """All items that stand, as the first call lays them out."""
+    plants: list[dict[str, Any]] = []
+    hosts: dict[str, list[dict[str, Any]]] = {}
+    out: dict[str, Any] = {}
+    for (kind, _), item in sorted(items, key=lambda one: one[0]):
+        if item.body is None:
+            continue
+        if kind == "plant":
+            plants.append(item.body)
+        elif kind == "limits":
+            out["Limits"] = item.body
+        else:
+            hosts.setdefault(item.host, []).append(item.body)
+    return {
+        "Plants": plants,
+        **out,
+        "Hosts": [{"Host": host, "Paths": paths} for host, paths in hosts.items()],
+    }
--- /dev/null
+++ b/brackengate/signals/lines.py
@@ -0,0 +1,160 @@
+"""Lines of JSON over TCP: the connections between the system's own processes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Callable
+from typing import cast
+
+import msgspec
+
+from brackengate.net.sockets import Address
+from brackengate.signals.words import Line
+
+log = logging.getLogger("brackengate.lines")
+
+MOST = 32 << 20  # bytes of one line, and of what may wait to be sent
+SILENT_MS = 1_200  # a connection whose bytes nobody takes for so long is given up: a cut says nothing
+DIAL_S = 0.6
+AGAIN_S, AGAIN_MOST_S = 0.05, 0.4
+
+_encode = msgspec.json.Encoder().encode
+_decode: Callable[[bytes], Line] = msgspec.json.Decoder(Line).decode
+
+
+class Lines(asyncio.Protocol):
+    """One connection.  `on_line` gets every word; one that can't be read ends the connection."""
+
+    def __init__(
+        self,
+        on_line: Callable[[Lines, Line], None],
+        on_open: Callable[[Lines], None],
+        on_lost: Callable[[Lines], None],
+    ) -> None:
+        self._on_line, self._on_open, self._on_lost = on_line, on_open, on_lost
+        self._transport: asyncio.Transport | None = None
+        self._rest = b""
+        self.peer = ""  # who speaks, by its first line
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_MS)
+        self._on_open(self)
+
+    def data_received(self, data: bytes) -> None:
+        *whole, self._rest = (self._rest + data if self._rest else data).split(b"\n")
+        if len(self._rest) > MOST:
+            return self.close()
+        for one in whole:
+            try:
+                word = _decode(one)
+            except (msgspec.DecodeError, UnicodeDecodeError) as error:
+                log.warning("lines: unreadable from %s: %s", self.peer or "a stranger", error)
+                return self.close()
+            if self._transport is None:
+                return
+            self._on_line(self, word)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+        self._on_lost(self)
+
+    def send(self, word: Line) -> None:
+        self.send_raw(_encode(word) + b"\n")
+
+    def send_raw(self, data: bytes) -> None:
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if transport.get_write_buffer_size() > MOST:
+            return self.close()
+        transport.write(data)
+
+    def close(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+
+def encoded(word: Line) -> bytes:
+    """A line for several connections."""
+    return _encode(word) + b"\n"
+
+
+class Dialer:
+    """Wants a connection to one address, and works towards it for as long as it is wanted."""
+
+    def __init__(
+        self,
+        address: Address,
+        on_line: Callable[[Line], None],
+        on_open: Callable[[Dialer], None],
+        on_lost: Callable[[], None] = lambda: None,
+        on_refused: Callable[[], None] = lambda: None,
+        tries: int = 0,
+    ) -> None:
+        """`tries`: given up after so many failures in a row; 0: never.  `on_lost` is called then too."""
+        self.address = address
+        self._line, self._opened, self._lost, self._refused = on_line, on_open, on_lost, on_refused
+        self._tries = tries
+        self._lines: Lines | None = None
+        self._gone = asyncio.Event()
+        self._task = asyncio.get_running_loop().create_task(self._work())
+
+    @property
+    def open(self) -> bool:
+        return self._lines is not None
+
+    def send(self, word: Line) -> None:
+        if self._lines is not None:
+            self._lines.send(word)
+
+    def drop(self) -> None:
+        """End the connection that there is; a new one is made."""
+        if self._lines is not None:
+            self._lines.close()
+
+    def close(self) -> None:
+        self._task.cancel()
+        if self._lines is not None:
+            self._lines.close()
+
+    async def _work(self) -> None:
+        pause, failed = AGAIN_S, 0
+        loop = asyncio.get_running_loop()
+        while True:
+            self._gone.clear()
+            try:
+                async with asyncio.timeout(DIAL_S):
+                    await loop.create_connection(self._new, *self.address)
+            except ConnectionRefusedError:
+                self._refused()
+            except OSError as error:  # TimeoutError is one
+                log.debug("lines: no connection to %s:%d: %r", *self.address, error)
+            else:
+                pause, failed = AGAIN_S, 0
+                await self._gone.wait()
+                self._lost()
+                continue
+            failed += 1
+            if self._tries and failed >= self._tries:
+                self._lost()
+                return
+            await asyncio.sleep(pause)
+            pause = min(AGAIN_MOST_S, pause * 2)
+
+    def _new(self) -> Lines:
+        return Lines(lambda _, word: self._line(word), self._made, self._ended)
+
+    def _made(self, lines: Lines) -> None:
+        self._lines = lines
+        self._opened(self)
+
+    def _ended(self, lines: Lines) -> None:
+        if self._lines is lines:
+            self._lines = None
+        self._gone.set()
--- /dev/null
+++ b/brackengate/signals/settings.py
@@ -0,0 +1,131 @@
+"""The settings file of one process: read, checked, and turned into what the roles use."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from brackengate.installation.units import duration
+from brackengate.net.sockets import Address, parse_address
+
+VARIABLE = "BRACKENGATE_NODE_FILE"
+
+
+class BadSettings(Exception):
+    """One line: the file, the key and what is allowed."""
+
+
+class Time(int):
+    """Whole microseconds, written in the file as a number with its unit."""
+
+
+class At(tuple[str, int]):
+    """An address, written in the file as host:port."""
+
+
+class Listen(msgspec.Struct, rename="pascal", frozen=True):
+    inbound: At | None = None
+    outbound: At | None = None
+    readiness: At | None = None
+    control: At | None = None
+
+
+class Limits(msgspec.Struct, rename="pascal", frozen=True):
+    memory_mb: int = 256
+    file_limit: int = 1024
+    disk_mb: int = 0
+
+
+class Tolerance(msgspec.Struct, rename="pascal", frozen=True):
+    """What may be lost at the same time with nothing acknowledged gone."""
+
+    machines: int = 0
+    zones: int = 0
+    regions: int = 0
+
+
+def _s(seconds: float) -> Time:
+    return Time(round(seconds * 1e6))
+
+
+class Bounds(msgspec.Struct, rename="pascal", frozen=True):
+    contact: Time = _s(3)
+    ack: Time = _s(4)
+    settling: Time = _s(4)
+    drain: Time = _s(2)
+    grace: Time = _s(6)
+    apply_time: Time = msgspec.field(name="Apply_time", default=_s(2))
+    retry_ratio: float = 0.2
+    retry_window: Time = _s(10)
+    retry_slack: float = 10.0
+    dedupe_window: Time = _s(60)
+    reuse_delay: Time = _s(2)
+
+
+class Settings(msgspec.Struct, rename="pascal", frozen=True):
+    """Fields that are not known are left alone: others may be added to the file at any time."""
+
+    ip: str
+    node: str = ""
+    zone: str = ""
+    region: str = ""
+    internal_ports: tuple[int, int] = (0, 0)
+    seeds: tuple[At, ...] = ()
+    initial_start: bool = False
+    counted: bool = False
+    data_dir: str = ""
+    feedback: Time = _s(1.5)
+    application: At | None = None
+    plant: str = ""
+    listen: Listen = Listen()
+    limits: Limits = Limits()
+    tolerance: Tolerance = Tolerance()
+    bounds: Bounds = Bounds()
+
+    @property
+    def lighthouse_port(self) -> int:
+        """Where lighthouses hear each other and the pilots; the same on all machines."""
+        return self.internal_ports[0]
+
+    @property
+    def enough(self) -> int:
+        """Disks that hold a write before it is acknowledged."""
+        return self.tolerance.machines + 1
+
+
+def _decode(kind: type, value: Any) -> Any:
+    if kind is Time:
+        return Time(duration(value))
+    if kind is At:
+        if not isinstance(value, str):
+            raise ValueError("expected an address as host:port")
+        return At(parse_address(value))
+    raise NotImplementedError(kind)
+
+
+def parse(text: str, source: str = "settings") -> Settings:
+    """Read the file's text; `BadSettings` names the key and what is allowed."""
+    try:
+        table = tomllib.loads(text)
+        return msgspec.convert(table, Settings, dec_hook=_decode)
+    except (tomllib.TOMLDecodeError, msgspec.ValidationError, ValueError) as error:
+        raise BadSettings(f"{source}: {error}") from None
+
+
+def load(path: str) -> Settings:
+    """`BadSettings` also where it can't be read."""
+    try:
+        text = Path(path).read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise BadSettings(f"{path}: {error}") from None
+    return parse(text, path)
+
+
+def plain(address: At | None, key: str) -> Address:
+    """An address that a role cannot do without."""
+    if address is None:
+        raise BadSettings(f"Listen.{key} is missing; an address as host:port is needed for this role")
+    return address[0], address[1]
--- /dev/null
+++ b/brackengate/signals/words.py
@@ -0,0 +1,274 @@
+"""Every message between the system's own processes, as one tagged line of JSON.  Pure.
+
+The epoch of a view stands in every message of the chain, so that a stale one is refused before it is read.
+Places are numbers of entries in the log of changes; they never go back and are never given twice.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+Row = tuple[str, str, Any]  # kind, name, value; None as a value: the row is gone
+PUBLIC = frozenset(("route", "plant", "limits", "inst"))  # kinds of rows that pilots follow
+ITEMS = frozenset(("route", "plant", "limits"))  # of these, the operator's
+
+
+class Word(msgspec.Struct, tag_field="t", omit_defaults=True, frozen=True):
+    """One line."""
+
+
+class Seat(msgspec.Struct, frozen=True, array_like=True):
+    """A member of a view.  `inc`: the life of its disk; `since`: the epoch in which it took its seat."""
+
+    addr: str
+    inc: str
+    since: int
+
+
+class View(msgspec.Struct, frozen=True, array_like=True):
+    """Who holds the log in this epoch, from the head to the tail; they are its voters too."""
+
+    epoch: int
+    seats: tuple[Seat, ...]
+
+    def seat(self, addr: str) -> Seat | None:
+        return next((seat for seat in self.seats if seat.addr == addr), None)
+
+    @property
+    def majority(self) -> int:
+        return len(self.seats) // 2 + 1
+
+
+class Entry(msgspec.Struct, frozen=True, array_like=True):
+    """One step of the log: rows that come into being together."""
+
+    place: int
+    rows: tuple[Row, ...]
+
+
+Ballot = tuple[int, str]
+
+
+# --- asks: what pilots and the operator want of the log
+
+
+class Amend(msgspec.Struct, tag_field="t", tag="amend", frozen=True):
+    """The operator's call, as it came."""
+
+    body: str
+
+
+class Read(msgspec.Struct, tag_field="t", tag="read", frozen=True):
+    """The configuration as it stands."""
+
+
+class Claim(msgspec.Struct, tag_field="t", tag="claim", frozen=True):
+    """This gate wants to be the only one to run this operation."""
+
+    key: str
+    gate: str
+    attempt: str
+
+
+class Unclaim(msgspec.Struct, tag_field="t", tag="unclaim", frozen=True):
+    """It has not run and never will."""
+
+    key: str
+    gate: str
+    attempt: str
+
+
+class Report(msgspec.Struct, tag_field="t", tag="report", frozen=True):
+    """What a pilot knows of the upstream beside it."""
+
+    name: str
+    value: Any
+
+
+Ask = Amend | Read | Claim | Unclaim | Report
+
+
+# --- among lighthouses
+
+
+class Hello(Word, frozen=True, tag="hello"):
+    """The first line on a connection: who speaks."""
+
+    addr: str
+    pilot: bool = False
+
+
+class Ping(Word, frozen=True, tag="ping"):
+    inc: str
+    epoch: int
+    place: int = 0  # stored
+    synced: int = 0  # the epoch in which it has caught up with the one before it
+    joining: bool = False  # it holds no seat, and is fit for one
+    fit: bool = True  # its disk takes what it is given
+    zone: str = ""
+    hears: tuple[str, ...] = ()
+
+
+class Pong(Word, frozen=True, tag="pong"):
+    epoch: int
+
+
+class WantView(Word, frozen=True, tag="view?"):
+    pass
+
+
+class NewView(Word, frozen=True, tag="view"):
+    """A view that has been agreed."""
+
+    view: View
+
+
+class Prepare(Word, frozen=True, tag="prep"):
+    epoch: int  # of the view that is to be agreed
+    ballot: Ballot
+
+
+class Promise(Word, frozen=True, tag="prom"):
+    """The sender has sealed the epoch before this one: it stores nothing more in it."""
+
+    epoch: int
+    ballot: Ballot
+    place: int
+    whole: bool  # it holds all that its seat owes
+    taken_at: Ballot | None = None
+    taken: View | None = None
+
+
+class Accept(Word, frozen=True, tag="acc"):
+    epoch: int
+    ballot: Ballot
+    view: View
+
+
+class Accepted(Word, frozen=True, tag="accd"):
+    epoch: int
+    ballot: Ballot
+
+
+class Outvoted(Word, frozen=True, tag="nack"):
+    epoch: int
+    ballot: Ballot  # the higher one that was promised
+
+
+class Have(Word, frozen=True, tag="have"):
+    """To the one before in the chain: send what follows this place; -1: everything."""
+
+    epoch: int
+    place: int
+
+
+class Forward(Word, frozen=True, tag="fwd"):
+    epoch: int
+    after: int
+    entries: tuple[Entry, ...]
+
+
+class Whole(Word, frozen=True, tag="whole"):
+    """A snapshot for a member that takes its seat: it forgets what it held."""
+
+    epoch: int
+    place: int
+    rows: tuple[tuple[str, str, int, Any], ...]  # with the place of each
+
+
+class Stored(Word, frozen=True, tag="ack"):
+    """From the sender on to the tail, all have this place on disk."""
+
+    epoch: int
+    place: int
+
+
+class Do(Word, frozen=True, tag="do"):
+    """To the head: an ask that came to another member."""
+
+    id: int
+    what: Ask
+
+
+class Done(Word, frozen=True, tag="done"):
+    id: int
+    result: Any
+
+
+# --- between a pilot and a lighthouse
+
+
+class Follow(Word, frozen=True, tag="follow"):
+    """Send the changes from this place on; a snapshot first where they are not at hand."""
+
+    place: int
+
+
+class Asked(Word, frozen=True, tag="ask"):
+    id: int
+    what: Ask
+
+
+class Snapshot(Word, frozen=True, tag="snap"):
+    place: int
+    rows: tuple[Row, ...]
+
+
+class Changes(Word, frozen=True, tag="chg"):
+    place: int
+    rows: tuple[Row, ...] = ()
+
+
+class Core(Word, frozen=True, tag="core"):
+    """The members by now, and their zones; and whether this one is in touch with them."""
+
+    members: tuple[tuple[str, str], ...]
+    touch: bool = True
+
+
+class Beat(Word, frozen=True, tag="b"):
+    """Nothing new."""
+
+
+class Away(Word, frozen=True, tag="away"):
+    """Go to another one: this one does not know what is agreed by now."""
+
+
+Line = (
+    Hello
+    | Ping
+    | Pong
+    | WantView
+    | NewView
+    | Prepare
+    | Promise
+    | Accept
+    | Accepted
+    | Outvoted
+    | Have
+    | Forward
+    | Whole
+    | Stored
+    | Do
+    | Done
+    | Follow
+    | Asked
+    | Snapshot
+    | Changes
+    | Core
+    | Beat
+    | Away
+)
+
+
+class Instance(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One upstream, as the pilot beside it reports it.  Its row's name is its machine's address."""
+
+    id: str
+    plant: str
+    zone: str
+    state: str  # ready, draining or gone
+    capacity: int = 1
+    warmup: int = 0  # microseconds that it was still slow for, when this was said
