--- a/brackengate/pilot/role.py
+++ b/brackengate/pilot/role.py
@@ -59,7 +59,7 @@
         self._port = inbound[1]
         self.table = Table()
         self.gate = Gate(settings.zone, settings.feedback, settings.bounds.drain)
-        self._peers = Pool(loop, self._budget, CONNECT_S, IDLE_S, judge=judge, settle=0)
+        self._gates = Pool(loop, self._budget, CONNECT_S, IDLE_S, judge=judge, settle=0)
         self._own = Pool(loop, self._budget, CONNECT_S, IDLE_S, judge=own_judge)
         self.following = Following(
             settings.ip,
@@ -70,7 +70,7 @@
             self._changed,
             clock.now,
         )
-        self.way = WayOut(loop, clock, self._peers, self.table, settings.plant, self._address_of, rng)
+        self.way = WayOut(loop, clock, self._budget, self.table, settings.plant, self._address_of, rng)
         self.entry = Entry(
             loop,
             clock,
@@ -80,7 +80,7 @@
             plain(settings.application, "Application") if settings.application else inbound,
             settings.bounds.dedupe_window,
             self.following.ask,
-            self._peers,
+            self._gates,
             self._address_of,
         )
         listen = settings.listen
--- a/brackengate/pilot/way.py
+++ b/brackengate/pilot/way.py
@@ -26,7 +26,7 @@
 )
 from brackengate.net.http import CallerConnection
 from brackengate.net.node import OVERDUE, REFUSED, Clock, Message, Node, Reply
-from brackengate.net.sockets import Address
+from brackengate.net.sockets import Address, SocketBudget
 from brackengate.net.upstream import Pool, Result
 from brackengate.pilot.hop import CALLER, DEADLINE, HOP, KEY, Said, Step, forwarded, hop_of, passed_on
 from brackengate.pilot.table import Table, choose, host_of
@@ -36,6 +36,8 @@
 
 log = logging.getLogger("brackengate.way")
 
+CONNECT_S = 0.25
+IDLE_S = 60.0  # of connections to other pilots, which keep theirs as long
 COLD_TIME = 3_000_000
 CONFLICT = 409
 TIER = 1  # deadlines are the callers' own: the module keeps no part of them back
@@ -97,9 +99,10 @@
     """The upstreams of one service, and the module that chooses among them."""
 
     def __init__(
-        self, name: str, loop: asyncio.AbstractEventLoop, clock: Clock, pool: Pool, seed: int
+        self, name: str, loop: asyncio.AbstractEventLoop, clock: Clock, budget: SocketBudget, seed: int
     ) -> None:
         self.name, self._clock = name, clock
+        self.pool = Pool(loop, budget, CONNECT_S, IDLE_S, judge=judge, settle=0)  # a node's list is its pool's
         settings = Settings(
             classes=(),
             tier=TIER,
@@ -110,7 +113,7 @@
             max_retry_after=RETRY_AFTER,
         )
         self.module = Balancer(settings, seed)
-        self.node = Node(loop, clock, settings, self.module, pool, MeshWords())
+        self.node = Node(loop, clock, settings, self.module, self.pool, MeshWords())
         self._started: dict[str, int] = {}  # when an upstream became known here, less what it had been up
 
     def listed(self, rows: list[tuple[str, Instance, Address]]) -> None:
@@ -148,14 +151,14 @@
         self,
         loop: asyncio.AbstractEventLoop,
         clock: Clock,
-        pool: Pool,
+        budget: SocketBudget,
         table: Table,
         plant: str,
         address_of: Callable[[str], Address],
         rng: random.Random,
     ) -> None:
         """`plant`: the service beside this pilot.  `address_of`: where the pilot of a machine is reached."""
-        self._loop, self._clock, self._pool, self._table = loop, clock, pool, table
+        self._loop, self._clock, self._budget, self._table = loop, clock, budget, table
         self._plant, self._address_of, self._rng = plant.encode(), address_of, rng
         self.services: dict[str, Service] = {}
         self._count = 0
@@ -172,7 +175,7 @@
             for name in classes:
                 if name not in self.services:
                     seed = self._rng.getrandbits(64)
-                    self.services[name] = Service(name, self._loop, self._clock, self._pool, seed)
+                    self.services[name] = Service(name, self._loop, self._clock, self._budget, seed)
             for name, service in self.services.items():
                 service.classes(classes.get(name, {}))
         rows: dict[str, list[tuple[str, Instance, Address]]] = {}
