Store the first view, and claim anew where no word of a claim came

Change: both are stored at the first start; a claim without an answer is replaced by a new one that names the one before, so that words of the old one that come late find nothing.

--- a/brackengate/lighthouse/chain.py
+++ b/brackengate/lighthouse/chain.py
@@ -221,9 +221,9 @@
                     result = {"invalid": str(why)}
             case Read():
                 result = None  # read when it is answered, which is from the tail on
-            case Claim(key, gate, attempt):
+            case Claim(key, gate, attempt, instead):
                 held = self.rows.get((KEY, key))
-                if held is None:
+                if held is None or held[1] == [gate, instead]:
                     rows = [(KEY, key, [gate, attempt])]
                 elif held[1] != [gate, attempt]:
                     return self._tell_done(addr, word.id, {"gate": held[1][0], "attempt": held[1][1]})
--- a/brackengate/lighthouse/member.py
+++ b/brackengate/lighthouse/member.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from brackengate.lighthouse.actions import Action
+from brackengate.lighthouse.actions import Action, Store
 from brackengate.lighthouse.chain import Chain
 from brackengate.lighthouse.view import NOBODY, Agreement
 from brackengate.signals.words import Ask, Ballot, Do, Done, Forward, Have, Line, Seat, Stored, View, Whole
@@ -46,7 +46,7 @@
         if view is None and first:
             view = View(1, tuple(Seat(seed, FIRST, 1) for seed in seeds))
             lineage = 1 if me in seeds else 0
-        self.me = me
+        self.me, self._first = me, kept.view is None and view is not None
         self.agreement = Agreement(me, kept.inc, zone, now, view, kept.promised, kept.taken_at, kept.taken)
         self.chain = Chain(me, enough, window, kept.place, lineage)
         self.chain.inc = kept.inc
@@ -55,7 +55,10 @@
             self.agreement.meet(addr, now)
 
     def start(self, now: int) -> list[Action]:
-        return self._settle([], now, anyway=True)
+        out: list[Action] = []
+        if self._first:
+            out.append(Store({"view": self.agreement.view, "lineage": self.chain.lineage}))
+        return self._settle(out, now, anyway=True)
 
     def tick(self, now: int) -> list[Action]:
         out = self._settle(self.agreement.tick(now, self.chain.log()), now)
--- a/brackengate/lighthouse/store.py
+++ b/brackengate/lighthouse/store.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from brackengate.lighthouse.actions import Store
-from brackengate.lighthouse.member import Kept
+from brackengate.lighthouse.member import FIRST, Kept
 from brackengate.lighthouse.view import NOBODY
 from brackengate.signals.words import Ballot, View
 
@@ -50,7 +50,7 @@
     def read(self, inc: str) -> Kept:
         """All that is there; `inc`: the life that a new disk begins."""
         held = self._meta("inc", str)
-        if held is None:
+        if held is None or (held == FIRST != inc and self._meta("view", View) is None):  # it never began
             meta = {"form": FORM, "inc": inc}
             self.write([Store(meta)])
             held = inc
--- a/brackengate/pilot/entry.py
+++ b/brackengate/pilot/entry.py
@@ -43,6 +43,7 @@
 log = logging.getLogger("brackengate.gate")
 
 CLAIM_SHARE = 0.5  # of a request's time, at the most, is spent on the claim of its key
+CLAIM_S = 5.0
 UNCLAIM_S = 1.0
 SLACK_S = 0.05  # behind a request's deadline, for its upstream to say so itself
 HANGS_S = 2.0  # behind its deadline, an operation is taken for lost
@@ -189,14 +190,14 @@
         elif why:
             self._say(visit, Said.AWAY, why)
         else:
-            self._count += 1
-            operation = self._operations.begin(key, f"{self._life}.{self._count}", now)
-            self._claim(operation, visit)
+            self._claim(self._operations.begin(key, "", now), visit)
 
     def _claim(self, operation: Operation, visit: Visit) -> None:
-        operation.state = State.CLAIMING
+        before, self._count = operation.attempt, self._count + 1
+        operation.state, operation.attempt = State.CLAIMING, f"{self._life}.{self._count}"
         operation.waiters.append(visit)
-        self._ask(Claim(operation.key, self._me, operation.attempt), partial(self._claimed, operation), 8.0)
+        claim = Claim(operation.key, self._me, operation.attempt, before)
+        self._ask(claim, partial(self._claimed, operation), CLAIM_S)
         wait = (visit.deadline - self._clock.now()) / 1e6 * CLAIM_SHARE
         self._loop.call_later(wait, self._claim_late, operation, visit)
 
@@ -248,6 +249,12 @@
                 operation.state = State.RUNNING
                 visit.operation = operation
                 self._run(visit)
+        elif state is State.UNCLAIMED:
+            why = "" if visit.step.replay else self._gate.admits(visit.step.instance, now)
+            if why:
+                self._say(visit, Said.AWAY, why)
+            else:
+                self._claim(operation, visit)
         elif state is State.ELSEWHERE and not visit.step.replay:
             self._relay(visit, operation)
         else:
@@ -259,11 +266,7 @@
         visit.operation = None
 
         def lifted(result: Any) -> None:
-            if result is None:
-                operation.state = State.UNRUN
-            else:
-                self._operations.drop(operation)
-                operation.state = State.LOST
+            operation.state = State.UNCLAIMED
             self._say(visit, said)
             for waiter in self._waiting(operation):
                 self._say(waiter, Said.AWAY)
@@ -290,7 +293,7 @@
                 self._say(visit, Said.BUSY)
             else:
                 if said is Said.AWAY or said is Said.SHED:
-                    self._operations.drop(operation)  # it is free again
+                    operation.state = State.UNCLAIMED  # it is free again
                     self._say(visit, Said.AWAY)
                     return
                 self._say(visit, Said.UNKNOWN)
--- a/brackengate/pilot/gate.py
+++ b/brackengate/pilot/gate.py
@@ -98,6 +98,7 @@
     RUNNING = "running"
     DONE = "done"  # its answer is kept
     UNRUN = "unrun"  # claimed here, and not run
+    UNCLAIMED = "unclaimed"  # not run here; whether the claim stands is not known
     LOST = "lost"  # it may have run, and nobody knows with which outcome
     ELSEWHERE = "elsewhere"  # another gate has it
 
