A claim without an answer is never taken for granted

Change: UNCLAIMED; numbers of asks begin at the clock, so that answers for an earlier life meet no new ask.

--- a/brackengate/lighthouse/chain.py
+++ b/brackengate/lighthouse/chain.py
@@ -94,7 +94,7 @@
         self._published: dict[Name, tuple[int, Any]] = {}
         self._said_have = self._pruned = 0
         self._asks: dict[int, Pending] = {}
-        self._last_id = 0
+        self._last_id = now  # no number of an earlier life comes again: words for those may still be under way
         self._owed: deque[Owed] = deque()
 
     def load(self, rows: list[tuple[str, str, int, Any]], now: int) -> None:
--- a/brackengate/lighthouse/role.py
+++ b/brackengate/lighthouse/role.py
@@ -99,7 +99,10 @@
             self._loop, self.clock, [bind(plain(settings.listen.control, "Control"))], Control(self)
         )
         server.start()
-        log.info("lighthouse: %s is up, view %d", self.me, self.member.agreement.view.epoch)
+        view, chain = self.member.agreement.view, self.member.chain
+        log.info(
+            "lighthouse: %s is up, view %d, place %d, %d rows", self.me, view.epoch, chain.place, len(chain.rows)
+        )
         self._carry_out(self.member.start(now))
         self._tick()
         try:
@@ -237,7 +240,10 @@
             else:
                 self._say(follower, Away())
         elif isinstance(word, Asked):
-            self.ask(word.what, lambda result: follower.lines.send(Done(word.id, result)))
+            def done(result):
+                log.debug("ask: %s: %s", word.what, result)
+                follower.lines.send(Done(word.id, result))
+            self.ask(word.what, done)
 
     def ask(self, what: Ask, done: Callable[[Any], None]) -> None:
         """`done` gets the result once; None: it is not known what becomes of it."""
--- a/brackengate/pilot/entry.py
+++ b/brackengate/pilot/entry.py
@@ -138,6 +138,9 @@
     def _run(self, visit: Visit) -> None:
         beat = self._gate.beat
         assert beat is not None
+        if log.isEnabledFor(logging.DEBUG):
+            fields, key = visit.arrival.fields, visit.operation.key if visit.operation else ""
+            log.debug("gate: %s runs at %s, key %r", fields.get(ATTEMPT.lower()), beat.id, key)
         left = max(1, (visit.deadline - self._clock.now()) // 1000)
         head = forwarded(visit.arrival, drop=(HOP, DEADLINE, TARGET))
         head += b"%s: %s\r\n%s: %d\r\n\r\n" % (TARGET, beat.id.encode(), DEADLINE, left)
@@ -206,10 +209,9 @@
             self._say(visit, Said.UNCLAIMED)
 
     def _claimed(self, operation: Operation, result: Any) -> None:
+        log.debug("gate: claim of %r, attempt %s: %s", operation.key, operation.attempt, result)
         if result is None:
-            operation.state = (
-                State.UNRUN
-            )  # it may be ours, and nothing has run: whoever comes next asks again
+            operation.state = State.UNCLAIMED
             for visit in self._waiting(operation):
                 self._say(visit, Said.UNCLAIMED)
         elif "gate" not in result:
@@ -233,6 +235,7 @@
 
     def _join(self, visit: Visit, operation: Operation) -> None:
         """Whatever is known of the operation, for a try of it."""
+        log.debug("gate: join of %r: %s", operation.key, operation.state.name)
         state, now = operation.state, self._clock.now()
         if state is State.DONE and isinstance(operation.answer, Reply):
             self._answer(visit, _again(operation.answer, visit.arrival))
--- /dev/null
+++ b/tests/lighthouse/corekit.py
@@ -0,0 +1,234 @@
+"""A core of lighthouses in simulated time: links, disks and faults drawn from a seed.  The deciders run as they are.
+
+A disk keeps what was stored whole; what was under way when power is lost is gone.  A link keeps the order of its
+lines; a cut holds them up and loses them when it is healed.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from brackengate.lighthouse.actions import Action, Answer, Publish, Restart, Store, Tell
+from brackengate.lighthouse.member import FIRST, Kept, Member
+from brackengate.signals.words import Ask, Line
+
+TICK, NET, SYNC = 50_000, 900, 600
+WINDOW = 60_000_000
+_decode = msgspec.json.Decoder(Line).decode
+
+
+@dataclass
+class DiskState:
+    inc: str = ""
+    meta: dict[str, bytes] = field(default_factory=dict)
+    rows: dict[tuple[str, str], tuple[int, bytes]] = field(default_factory=dict)
+
+    def write(self, store: Store) -> None:
+        if store.forget:
+            self.rows.clear()
+        for name, value in store.meta.items():
+            self.meta[name] = msgspec.json.encode(value)
+        for place, (kind, name, value) in store.rows:
+            if kind == "key" and value is None:
+                self.rows.pop((kind, name), None)
+            else:
+                self.rows[kind, name] = (place, msgspec.json.encode(value))
+
+    def kept(self) -> Kept:
+        def get(name: str, kind: Any, default: Any) -> Any:
+            found = msgspec.json.decode(self.meta[name], type=kind) if name in self.meta else None
+            return default if found is None else found
+
+        from brackengate.lighthouse.view import NOBODY
+        from brackengate.signals.words import Ballot, View
+
+        rows = [(k, n, place, msgspec.json.decode(value)) for (k, n), (place, value) in self.rows.items()]
+        return Kept(
+            self.inc,
+            get("place", int, 0),
+            get("lineage", int, 0),
+            get("view", View | None, None),
+            get("promised", Ballot | None, NOBODY),
+            get("taken_at", Ballot | None, None),
+            get("taken", View | None, None),
+            rows,
+        )
+
+
+class Host:
+    """One machine of the core: its disk outlasts its process."""
+
+    def __init__(self, core: Core, name: str) -> None:
+        self.core, self.name = core, name
+        self.disk = DiskState()
+        self.life = 0
+        self.member: Member | None = None
+        self.stalled_until = self.frozen_until = 0
+        self.answers: dict[int, Any] = {}
+        self.asked: dict[int, Callable[[Any], None]] = {}
+        self.published: list[tuple[int, tuple[Any, ...]]] = []
+        self._queue: list[Store] = []
+        self._writing = False
+
+    def start(self, first: bool = False) -> None:
+        self.life += 1
+        if not self.disk.inc:
+            self.disk.inc = FIRST if first else f"disk{self.core.rng.getrandbits(40)}"
+        core = self.core
+        self.member = Member(
+            self.name, "", self.disk.kept(), core.seeds, first, core.enough, WINDOW, core.now
+        )
+        self._queue, self._writing, self.asked = [], False, {}
+        core.connect(self)
+        self.do(self.member.start(core.now))
+        self._tick(self.life)
+
+    def stop(self, wipe: bool = False) -> None:
+        self.life += 1
+        self.member = None
+        if wipe:
+            self.disk = DiskState()
+
+    def ask(self, what: Ask, done: Callable[[Any], None]) -> None:
+        if self.member is not None:
+            number = self.core.number()
+            self.asked[number] = done
+            self.do(self.member.ask(what, number, self.core.now))
+
+    def _tick(self, life: int) -> None:
+        if life == self.life and self.member is not None:
+            if self.core.now >= self.frozen_until:
+                slow = self._writing and self.core.now < self.stalled_until
+                self.member.fit(not slow)
+                self.do(self.member.tick(self.core.now))
+            self.core.later(TICK, lambda: self._tick(life))
+
+    def hear(self, addr: str, line: bytes) -> None:
+        if self.member is not None:
+            if self.core.now < self.frozen_until:
+                self.core.later(self.frozen_until - self.core.now + 1, lambda: self.hear(addr, line))
+                return
+            self.do(self.member.heard(addr, _decode(line), self.core.now))
+
+    def do(self, actions: Iterable[Action]) -> None:
+        for action in actions:
+            match action:
+                case Tell(addr, word):
+                    line = msgspec.json.encode(word)
+                    if addr == self.name:
+                        self.core.later(0, lambda line=line, life=self.life: self._self(line, life))
+                    else:
+                        self.core.send(self, addr, line)
+                case Store():
+                    self._queue.append(action)
+                case Answer(number, result):
+                    done = self.asked.pop(number, None)
+                    if done is not None:
+                        done(result)
+                case Publish(place, rows):
+                    self.published.append((place, rows))
+                case Restart():
+                    self.published.append((-1, ()))
+        if self._queue and not self._writing:
+            self._writing = True
+            batch, self._queue = self._queue, []
+            wait = max(self.core.now, self.stalled_until, self.frozen_until) - self.core.now + SYNC
+            self.core.later(wait, lambda life=self.life: self._written(batch, life))
+
+    def _self(self, line: bytes, life: int) -> None:
+        if life == self.life:
+            self.hear(self.name, line)
+
+    def _written(self, batch: list[Store], life: int) -> None:
+        if life != self.life or self.member is None:
+            return
+        out: list[Action] = []
+        for store in batch:
+            self.disk.write(store)
+        self._writing = False
+        for store in batch:
+            out += store.tells
+            if store.place >= 0:
+                out += self.member.stored(store.place, store.life)
+        self.do(out)
+
+
+class Core:
+    def __init__(self, names: Iterable[str], seed: int, enough: int = 2, seeds: int = 3) -> None:
+        self.rng, self.now, self.enough = random.Random(seed), 0, enough
+        self.hosts = {name: Host(self, name) for name in names}
+        self.seeds = list(self.hosts)[:seeds]
+        self.cuts: set[tuple[str, str]] = set()
+        self._held: dict[tuple[str, str], int] = {}  # the life of a link: lines of an older one are lost
+        self._due: dict[tuple[str, str], int] = {}
+        self._events: list[tuple[int, int, Callable[[], None]]] = []
+        self._count = 0
+        for host in self.hosts.values():
+            self.later(self.rng.randrange(300_000), lambda host=host: host.start(first=True))
+
+    def number(self) -> int:
+        self._count += 1
+        return self._count
+
+    def later(self, delay: int, what: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (self.now + max(0, delay), self.number(), what))
+
+    def run(self, until: int) -> None:
+        while self._events and self._events[0][0] <= until:
+            self.now, _, what = heapq.heappop(self._events)
+            what()
+        self.now = until
+
+    # --- links
+
+    def send(self, host: Host, addr: str, line: bytes) -> None:
+        if addr not in self.hosts or (host.name, addr) in self.cuts:
+            return
+        pair = (host.name, addr)
+        life = self._held.setdefault(pair, 0)
+        due = max(self.now + NET + self.rng.randrange(200), self._due.get(pair, 0) + 1)
+        self._due[pair] = due
+        self.later(due - self.now, lambda: self._arrive(host, addr, line, pair, life))
+
+    def _arrive(self, host: Host, addr: str, line: bytes, pair: tuple[str, str], life: int) -> None:
+        if pair not in self.cuts and self._held[pair] == life:
+            there = self.hosts[addr]
+            if there.member is None and host.member is not None:
+                host.do(host.member.refused(addr, self.now))
+            else:
+                there.hear(host.name, line)
+
+    def connect(self, host: Host) -> None:
+        """A process that starts, or links that are healed: what was under way is lost, both sides meet anew."""
+        for other in self.hosts.values():
+            for one, two in ((host, other), (other, host)):
+                pair = (one.name, two.name)
+                self._held[pair] = self._held.get(pair, 0) + 1
+            if other.member is not None and other is not host:
+                self.later(NET, lambda other=other: self._met(host, other))
+
+    def _met(self, one: Host, two: Host) -> None:
+        for here, there in ((one, two), (two, one)):
+            if here.member is not None and there.member is not None:
+                here.member.met(there.name, self.now)
+                here.do(here.member.reconnected(there.name, self.now))
+
+    def cut(self, pairs: Iterable[tuple[str, str]]) -> None:
+        self.cuts.update(pairs)
+
+    def heal(self) -> None:
+        touched = {name for pair in self.cuts for name in pair}
+        self.cuts.clear()
+        for name in touched:
+            self.connect(self.hosts[name])
+
+    # --- what is looked at
+
+    def views(self) -> dict[str, Any]:
+        return {name: host.member.agreement.view for name, host in self.hosts.items() if host.member is not None}
