--- a/brackengate/lighthouse/chain.py
+++ b/brackengate/lighthouse/chain.py
@@ -71,7 +71,7 @@
 
 
 class Chain:
-    def __init__(self, me: str, enough: int, window: int, place: int, lineage: int) -> None:
+    def __init__(self, me: str, enough: int, window: int, place: int, lineage: int, now: int) -> None:
         """`enough`: disks that hold a write before it is acknowledged.  `window`: for which keys are kept.
         `place`, `lineage`: as stored; the lineage is the epoch of the seat that the rows were taken for."""
         self.me, self.enough, self.window = me, enough, window
@@ -94,7 +94,9 @@
         self._published: dict[Name, tuple[int, Any]] = {}
         self._said_have = self._pruned = 0
         self._asks: dict[int, Pending] = {}
-        self._last_id = now  # no number of an earlier life comes again: words for those may still be under way
+        self._last_id = (
+            now  # no number of an earlier life comes again: words for those may still be under way
+        )
         self._owed: deque[Owed] = deque()
 
     def load(self, rows: list[tuple[str, str, int, Any]], now: int) -> None:
--- a/brackengate/lighthouse/member.py
+++ b/brackengate/lighthouse/member.py
@@ -48,7 +48,7 @@
             lineage = 1 if me in seeds else 0
         self.me, self._first = me, kept.view is None and view is not None
         self.agreement = Agreement(me, kept.inc, zone, now, view, kept.promised, kept.taken_at, kept.taken)
-        self.chain = Chain(me, enough, window, kept.place, lineage)
+        self.chain = Chain(me, enough, window, kept.place, lineage, now)
         self.chain.inc = kept.inc
         self.chain.load(list(kept.rows), now)
         for addr in (*seeds, *(seat.addr for seat in self.agreement.view.seats)):
--- a/brackengate/lighthouse/role.py
+++ b/brackengate/lighthouse/role.py
@@ -101,7 +101,11 @@
         server.start()
         view, chain = self.member.agreement.view, self.member.chain
         log.info(
-            "lighthouse: %s is up, view %d, place %d, %d rows", self.me, view.epoch, chain.place, len(chain.rows)
+            "lighthouse: %s is up, view %d, place %d, %d rows",
+            self.me,
+            view.epoch,
+            chain.place,
+            len(chain.rows),
         )
         self._carry_out(self.member.start(now))
         self._tick()
@@ -240,9 +244,11 @@
             else:
                 self._say(follower, Away())
         elif isinstance(word, Asked):
+
             def done(result):
                 log.debug("ask: %s: %s", word.what, result)
                 follower.lines.send(Done(word.id, result))
+
             self.ask(word.what, done)
 
     def ask(self, what: Ask, done: Callable[[Any], None]) -> None:
--- a/brackengate/pilot/role.py
+++ b/brackengate/pilot/role.py
@@ -180,8 +180,7 @@
             if (
                 known is None
                 or known.state == "gone"
-                or (self.gate.beat is None
-                and not self.gate.ended(known.id))
+                or (self.gate.beat is None and not self.gate.ended(known.id))
             ):
                 return
             wanted = msgspec.structs.replace(known, state="gone")
--- a/brackengate/pilot/way.py
+++ b/brackengate/pilot/way.py
@@ -102,7 +102,9 @@
         self, name: str, loop: asyncio.AbstractEventLoop, clock: Clock, budget: SocketBudget, seed: int
     ) -> None:
         self.name, self._clock = name, clock
-        self.pool = Pool(loop, budget, CONNECT_S, IDLE_S, judge=judge, settle=0)  # a node's list is its pool's
+        self.pool = Pool(
+            loop, budget, CONNECT_S, IDLE_S, judge=judge, settle=0
+        )  # a node's list is its pool's
         settings = Settings(
             classes=(),
             tier=TIER,
--- a/tests/lighthouse/corekit.py
+++ b/tests/lighthouse/corekit.py
@@ -231,4 +231,6 @@
     # --- what is looked at
 
     def views(self) -> dict[str, Any]:
-        return {name: host.member.agreement.view for name, host in self.hosts.items() if host.member is not None}
+        return {
+            name: host.member.agreement.view for name, host in self.hosts.items() if host.member is not None
+        }
