--- a/brackengate/cli.py
+++ b/brackengate/cli.py
@@ -539,7 +539,11 @@
 @click.option(
     "--port", type=click.IntRange(0, 65535), default=0, help="The front's port; else the kernel's choice."
 )
-@click.option("--seconds", type=click.FloatRange(1, 86400), help="Stop by itself after this time.")
+@click.option(
+    "--seconds",
+    type=click.FloatRange(1, 86400),
+    help="Stop by itself after figures were shown for this time.",
+)
 @click.option(
     "--rate", type=click.FloatRange(1, 2000), default=60.0, show_default=True, help="Requests a second."
 )
--- a/brackengate/demo.py
+++ b/brackengate/demo.py
@@ -129,14 +129,13 @@
         self._seen: dict[str, int] = {}
 
     async def run(self, once: bool, seconds: float | None) -> int:
+        """`seconds` begin when all is up; how long that may take is bounded apart, by READY_S."""
         stop = asyncio.Event()
         loop = asyncio.get_running_loop()
         for number in (signal.SIGINT, signal.SIGTERM):
             loop.add_signal_handler(number, stop.set)
         folder = Path(tempfile.mkdtemp(prefix="brackengate-"))
         try:
-            if seconds is not None:
-                loop.call_later(seconds, stop.set)
             started = loop.create_task(self._start(folder))
             stopping = loop.create_task(stop.wait())
             await asyncio.wait({started, stopping}, return_when=asyncio.FIRST_COMPLETED)
@@ -147,6 +146,8 @@
             front = started.result()
             if once:
                 return await self._once(front)
+            if seconds is not None:
+                loop.call_later(seconds, stop.set)
             await self._show(front, stop)
             return 0
         except CannotShow as error:
@@ -181,7 +182,11 @@
             front = await Front([(host, int(port))]).start(self._port)
         except OSError as error:
             raise CannotShow(f"the front cannot listen on port {self._port}: {error.strerror}") from None
-        await front.until_ready()
+        try:
+            async with asyncio.timeout(READY_S):
+                await front.until_ready()
+        except TimeoutError:
+            raise CannotShow("the front found no instance ready") from None
         return front
 
     # --- once
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import http.client
 import json
 import os
@@ -12,6 +13,8 @@
 
 import pytest
 
+from brackengate.demo import Demo
+
 ROOT = Path(__file__).parent.parent
 EXAMPLE = "examples/one-tier.toml"
 
@@ -95,6 +98,23 @@
     assert any("2 instances ready" in line and "200:" in line for line in told.stdout.splitlines())
 
 
+def test_the_demos_seconds_begin_when_it_is_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    """However long it takes to come up, it shows; the time that it was told is over before."""
+    shown: list[bool] = []
+
+    async def start(self: Demo, folder: Path) -> None:
+        await asyncio.sleep(0.2)
+
+    async def show(self: Demo, front: None, stop: asyncio.Event) -> None:
+        shown.append(stop.is_set())
+        await stop.wait()
+
+    monkeypatch.setattr(Demo, "_start", start)
+    monkeypatch.setattr(Demo, "_show", show)
+    assert asyncio.run(Demo(0, 1.0, ()).run(False, 0.05)) == 0
+    assert shown == [False]
+
+
 def test_the_demo_serves_graphql_on_its_fronts_port() -> None:
     argv = [sys.executable, "-m", "brackengate.cli", "demo", "--rate", "1"]
     process = subprocess.Popen(argv, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True)
