Turn away at the gate what would come too late there

Change: pilot/load.py, pure: the gate counts what its upstream holds and learns what one takes; what would be late is turned away at once and goes elsewhere free, or is refused.

--- a/brackengate/lighthouse/role.py
+++ b/brackengate/lighthouse/role.py
@@ -245,7 +245,7 @@
                 self._say(follower, Away())
         elif isinstance(word, Asked):
 
-            def done(result):
+            def done(result: Any) -> None:
                 log.debug("ask: %s: %s", word.what, result)
                 follower.lines.send(Done(word.id, result))
 
--- a/brackengate/pilot/entry.py
+++ b/brackengate/pilot/entry.py
@@ -37,6 +37,7 @@
     passed_on,
     step_of,
 )
+from brackengate.pilot.load import Load, Ticket
 from brackengate.signals.door import MOST_BODY
 from brackengate.signals.words import Ask, Claim, Unclaim
 
@@ -82,6 +83,7 @@
     timer: asyncio.TimerHandle | None = None
     job: Job | None = None
     operation: Operation | None = None
+    ticket: Ticket | None = None
     over: bool = False
 
 
@@ -107,6 +109,7 @@
         self._loop, self._clock, self._pool, self._gate = loop, clock, pool, gate
         self._me, self._application, self._ask = me, application, ask
         self._peers, self._address_of = peers, address_of
+        self.load = Load()
         self._operations = Operations(window, KEPT_BYTES)
         self._life, self._count = (
             secrets.token_hex(6),
@@ -130,9 +133,18 @@
             why = self._gate.admits(step.instance, self._clock.now())
             if why:
                 self._say(visit, Said.AWAY, why)
+            elif not self._takes(visit):
+                self._say(visit, Said.FULL)
             else:
                 self._run(visit)
 
+    def _takes(self, visit: Visit) -> bool:
+        """Whether it would be answered in time here, as far as that can be told."""
+        if self._gate.beat is not None:
+            self.load.slots = max(1, self._gate.beat.capacity)
+        left = visit.deadline - self._clock.now()
+        return self.load.takes(visit.step.route, visit.step.aim_ms * 1000, left, visit.step.again)
+
     # --- the upstream
 
     def _run(self, visit: Visit) -> None:
@@ -144,6 +156,7 @@
         left = max(1, (visit.deadline - self._clock.now()) // 1000)
         head = forwarded(visit.arrival, drop=(HOP, DEADLINE, TARGET))
         head += b"%s: %s\r\n%s: %d\r\n\r\n" % (TARGET, beat.id.encode(), DEADLINE, left)
+        visit.ticket = self.load.sent(visit.step.route, self._clock.now())
         self._pool.wanted = {beat.id: self._application}
         visit.job = self._pool.start(
             beat.id,
@@ -159,6 +172,9 @@
     def _ran(self, visit: Visit, result: Result) -> None:
         visit.job = None
         operation, answer = visit.operation, result.answer
+        if visit.ticket is not None:
+            self.load.ended(visit.ticket, self._clock.now(), result.outcome is Outcome.OK)
+            visit.ticket = None
         if result.outcome is Outcome.OK and answer is not None:
             reply = passed_on(answer, drop=(HOP, UNRUN), add=b"%s: ran\r\n" % HOP)
             if operation is not None:
@@ -192,6 +208,8 @@
             self._say(visit, Said.UNKNOWN)  # of an earlier life of this process
         elif why:
             self._say(visit, Said.AWAY, why)
+        elif not self._takes(visit):
+            self._say(visit, Said.FULL)
         else:
             self._claim(self._operations.begin(key, "", now), visit)
 
--- a/brackengate/pilot/hop.py
+++ b/brackengate/pilot/hop.py
@@ -25,13 +25,14 @@
 HOP_BY_HOP = frozenset(
     b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade expect content-length".split()
 )
-_STEP = re.compile(rb"([srk]) ([0-9]{1,4}) ([!-~]{1,200})")
+_STEP = re.compile(rb"([srk]) ([0-9]{1,4}) (-?[0-9]{1,9}) ([01]) ([!-~]{1,200}) ([!-~]{1,200})")
 
 
 class Said(Enum):
     """What became of a request at a gate."""
 
     RAN = b"ran"  # the upstream's own answer
+    FULL = b"full"  # turned away at the gate: it would come too late here
     AWAY = b"away"  # turned away at the gate: it has not run and never will
     UNCLAIMED = b"unclaimed"  # its key could not be claimed in time: it has not run and never will
     SHED = b"shed"  # the upstream turned it away
@@ -54,18 +55,23 @@
     keyed: bool
     number: int = 0
     replay: bool = False
+    aim_ms: int = 0  # until its answer loses worth
+    again: bool = False  # its client was refused before
+    route: str = "-"
 
     def lines(self) -> bytes:
         kind = b"r" if self.replay else b"k" if self.keyed else b"s"
-        name = self.instance.encode("latin-1", "replace")
-        return b"%s: %s %d %s\r\n" % (HOP, kind, self.number, name)
+        names = self.instance.encode("latin-1", "replace"), (self.route or "-").encode("ascii", "replace")
+        return b"%s: %s %d %d %d %s %s\r\n" % (HOP, kind, self.number, self.aim_ms, self.again, *names)
 
 
 def step_of(fields: dict[bytes, bytes]) -> Step | None:
     found = _STEP.fullmatch(fields.get(HOP.lower(), b""))
     if found is None:
         return None
-    return Step(found[3].decode("latin-1"), found[1] != b"s", int(found[2]), found[1] == b"r")
+    keyed, replay = found[1] != b"s", found[1] == b"r"
+    instance, route = found[5].decode("latin-1"), found[6].decode("latin-1")
+    return Step(instance, keyed, int(found[2]), replay, int(found[3]), found[4] == b"1", route)
 
 
 def hop_of(fields: dict[bytes, bytes]) -> Said | None:
--- a/brackengate/pilot/way.py
+++ b/brackengate/pilot/way.py
@@ -41,7 +41,8 @@
 COLD_TIME = 3_000_000
 CONFLICT = 409
 TIER = 1  # deadlines are the callers' own: the module keeps no part of them back
-RETRY_AFTER = 250_000  # told where nothing better is known: an upstream that was full has moved on by then
+AGAIN_PART = 0.97  # of a route's time: a client that has less left has tried before
+RETRY_AFTER = 80_000  # told where nothing better is known: an upstream that was full has moved on by then
 
 
 @dataclass(slots=True)
@@ -49,9 +50,13 @@
     """A request on its way to another pilot: the target and the time that is left differ with each attempt."""
 
     keyed: bool = False
+    route_name: str = ""
+    aim_before_end_ms: int = 0  # how long before its deadline its answer loses worth
+    again: bool = False
 
     def payload(self, remaining_ms: int, upstream: str, number: int) -> bytes:
-        step = Step(upstream, self.keyed, number)
+        aim = remaining_ms - self.aim_before_end_ms
+        step = Step(upstream, self.keyed, number, aim_ms=aim, again=self.again, route=self.route_name)
         return b"%s%s%s: %d\r\n\r\n%s" % (self.head, step.lines(), DEADLINE, remaining_ms, self.body)
 
 
@@ -60,7 +65,7 @@
     said = hop_of(answer.fields)
     if said is Said.RAN:
         outcome = Outcome.OK if answer.status < 500 else Outcome.ERROR
-    elif said in (Said.AWAY, Said.UNCLAIMED):
+    elif said in (Said.AWAY, Said.FULL, Said.UNCLAIMED):
         outcome = Outcome.NOT_SENT
     elif said is Said.SHED:
         outcome = Outcome.REJECTED
@@ -110,7 +115,7 @@
             tier=TIER,
             cold_share=0.4,
             cold_time=COLD_TIME,
-            max_attempts=3,
+            max_attempts=5,
             connect_timeout=200_000,
             max_retry_after=RETRY_AFTER,
         )
@@ -204,7 +209,9 @@
         request = Request(str(self._count), route.name, arrival.at + max(limit, 1000))
         keyed = route.kind == "keyed" and KEY.lower() in arrival.fields
         head = forwarded(arrival, drop=(CALLER, DEADLINE, HOP)) + b"%s: %s\r\n" % (CALLER, self._plant)
-        message = Outgoing(head, arrival.body, stream=arrival.stream, keyed=keyed)
+        message = Outgoing(head, arrival.body, stream=arrival.stream, keyed=keyed, route_name=route.name)
+        message.aim_before_end_ms = max(0, route.cutoff - route.setpoint) // 1000
+        message.again = limit < AGAIN_PART * route.cutoff
         connection.hold(partial(service.node.gone, request.request, connection))
         service.node.submit(request, message, connection)
 
