Split the decision module by concern, with the same decisions

Changed: brackengate/policy/ holds the decisions by concern: state, cold, order (with the gate), failures, overload, retries, sends, probes, arrivals, outcomes, lists. Each is a class on top of those it needs and adds no data; brain.py puts them together and takes the events. What was imported from brackengate.brain still is.

--- /dev/null
+++ b/brackengate/policy/retries.py
@@ -0,0 +1,41 @@
+"""How a request ends, what is tried again, and the ration of that."""
+
+from __future__ import annotations
+
+from brackengate import interface as api
+from brackengate.policy.state import Call, State
+
+
+class Retries(State):
+    def _retry(self, call: Call) -> bool:
+        """Whether it may be tried once more; that comes off the ration."""
+        unsafe = call.cls.idempotency is api.Idempotency.UNSAFE and call.ran()
+        if self.retries < 1 or unsafe or len(call.attempts) >= self.settings.max_attempts:
+            return False
+        self.retries -= 1
+        return True
+
+    def _end_unserved(self, call: Call) -> None:
+        """Refuse where the rules let it be claimed and the client would come back anyway, else fail."""
+        keyed_all = call.cls.idempotency is api.Idempotency.KEYED and call.cls.key_scope is api.KeyScope.ALL
+        anyway = call.cls.idempotency is api.Idempotency.REPEATABLE or keyed_all
+        if anyway or (not call.ran() and (not call.whole or self.now + self.recheck < call.answer_by)):
+            self._end(call, api.Refuse(call.id, self.settings.max_retry_after))
+        else:
+            self._end(call, api.Fail(call.id))
+
+    def _end(self, call: Call | None, answer: api.Action | None) -> None:
+        """The only place that ends a request; `answer` is None when it has ended already."""
+        if call is None or call.done:
+            return
+        call.done = True
+        self.waiting.pop(call.id, None)
+        self.actions += [answer] if answer is not None else []
+        self._cancel_others(call)
+        if not call.live:
+            self.calls.pop(call.id, None)
+
+    def _cancel_others(self, call: Call, but: int = -1) -> None:
+        for number, attempt in enumerate(call.attempts):
+            if attempt.outcome is None and number != but and self.settings.cancel:
+                self.actions.append(api.CancelAttempt(call.id, number))
