Give the decision module what a mesh needs of it, off by default

Need: a proxy beside a service must not keep calls, passes on what its own limits turned away, and gets new classes while it runs.

Changed: `holds` off sends a call that no upstream may take now to the least bad that rules 1 to 3 let it (fewest own calls, failures, then the earliest assignment), else ends it at once; only the word of a probe is still waited for. `free_unsent` lets attempts that ended unsent count for nothing, up to 8 in all, and keeps the call from who turned it away while another serves that may take it. The event `Classes` replaces the table of classes; calls under way keep theirs. A class may have a `max_attempts` of its own. The advice in a refusal needed nothing: it is `max_retry_after` already.

--- a/brackengate/brain.py
+++ b/brackengate/brain.py
@@ -29,6 +29,7 @@
             api.ProbeEnded: self._on_probe,
             api.TimerFired: self._on_timer,
             api.UpstreamList: self._on_list,
+            api.Classes: lambda event: self._use(event.classes),
             api.ClientGone: lambda event: self._end(self.calls.get(event.request), None),
         }
 
--- a/brackengate/interface.py
+++ b/brackengate/interface.py
@@ -70,6 +70,7 @@
     late_worth: float = 0.0  # share of the worth an answer earns between aim and deadline
     aim_stretch: float = 0.0  # the aim grows by this multiple of the request's own work
     stream: bool = False
+    max_attempts: int = 0  # 0 = as the settings say
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +103,8 @@
     max_retry_after: int = 0  # the longest advice a client follows; 0 = none reaches it
     over_share_worth: float = 1.0
     probe_price: float = 0.0  # points for each probe, as a share of one request's worth
+    holds: bool = True  # False: what no upstream may take now goes to the least bad one, or ends
+    free_unsent: bool = False  # True: attempts that ended unsent count for nothing, up to 8 in all
 
 
 # --- events ---------------------------------------------------------------------------------
@@ -213,6 +216,13 @@
     load: LoadReport | None = None
 
 
+@dataclass(slots=True)
+class Classes:
+    """The table of classes from here on, in place of the settings'; calls under way keep theirs."""
+
+    classes: tuple[RequestClass, ...]
+
+
 @dataclass(slots=True)
 class PeerMessage:
     sender: int
@@ -228,6 +238,7 @@
     | ClientGone
     | TimerFired
     | ProbeEnded
+    | Classes
     | PeerMessage
 )
 
--- a/brackengate/policy/arrivals.py
+++ b/brackengate/policy/arrivals.py
@@ -8,6 +8,7 @@
 from brackengate.policy.probes import Probes
 from brackengate.policy.state import (
     AIM_MARGIN,
+    MOST_TRIES,
     OPEN_WAIT,
     RETRY_BURST,
     RETRY_SHARE,
@@ -41,6 +42,9 @@
             self.shares[event.tenant] = (max(0.0, saved - 1), self.now)
         call = Call(event.request, cls, answer_by, aim_by, worth, max(1, event.work_hint or cls.aim))
         call.earlier, call.whole = event.earlier, event.whole
+        call.most = cls.max_attempts or self.settings.max_attempts
+        if self.settings.free_unsent:
+            call.most = min(call.most, MOST_TRIES)
         if not call.whole:
             call.answer_by = call.aim_by = self.now + OPEN_WAIT
         self.calls[call.id] = call
--- a/brackengate/policy/order.py
+++ b/brackengate/policy/order.py
@@ -45,23 +45,43 @@
         return (linked if any_linked else found)[:most]
 
     def _may_send(self, call: Call, up: Upstream, asking: bool = False) -> bool:
-        if call.done or self.now >= call.answer_by or len(call.attempts) >= self.settings.max_attempts:
-            return False  # rule 1
-        for attempt in call.attempts:  # rule 2
-            if attempt.outcome not in NEVER_RAN and not self._drops(
-                call, attempt.upstream.row, attempt.sent, up
-            ):
-                return False
-        for earlier in call.earlier:
-            if not self._drops(call, earlier.row, earlier.sent, up):
-                return False
-        if not up.serving or self.now < up.rest_until:  # rule 3, and rests
+        if not self._lets(call, up) or self.now < up.rest_until:
             return False
         if self.now >= up.cold_next:
             return True  # rule 4: a cold one in its turn, else only while it says it is idle
         idle = up.own == 0 and (asking or (up.load == 0 and up.heard == self.now))
         return idle and self._warmth(up) >= WARM_ENOUGH
 
+    def _lets(self, call: Call, up: Upstream) -> bool:
+        """What nothing lifts: rules 1 to 3."""
+        if call.done or self.now >= call.answer_by or len(call.attempts) >= call.most or not up.serving:
+            return False
+        if not call.attempts and not call.earlier:
+            return True
+        return self._harmless(call, up) and not self._turned_away(call, up)
+
+    def _harmless(self, call: Call, up: Upstream) -> bool:
+        """Rule 2."""
+        for attempt in call.attempts:
+            if attempt.outcome not in NEVER_RAN and not self._drops(
+                call, attempt.upstream.row, attempt.sent, up
+            ):
+                return False
+        return all(self._drops(call, earlier.row, earlier.sent, up) for earlier in call.earlier)
+
+    def _turned_away(self, call: Call, up: Upstream) -> bool:
+        """Where attempts that ended unsent are free: it did, and another serves that did not and may take it.
+
+        Guards against spending them all on one that is full or out of reach.
+        """
+        if not self.settings.free_unsent:
+            return False
+        away = [a.upstream.id for a in call.attempts if a.outcome is api.Outcome.NOT_SENT]
+        return up.id in away and any(
+            other.serving and other.id not in away and self._harmless(call, other)
+            for other in self.upstreams.values()
+        )
+
     def _drops(self, call: Call, one: api.Endpoint, sent: int, up: Upstream) -> bool:
         """Rule 2: whether what may have run at `one` does no harm here."""
         scope, other = call.cls.key_scope, up.row
--- a/brackengate/policy/outcomes.py
+++ b/brackengate/policy/outcomes.py
@@ -48,7 +48,7 @@
         if event.request_ended:
             self._end(call, None)
         elif not call.done and not call.live:
-            if event.again and self._retry(call):
+            if event.again and self._retry(call, attempt):
                 self._place(call)
             else:
                 self._end_unserved(call)
--- a/brackengate/policy/probes.py
+++ b/brackengate/policy/probes.py
@@ -19,8 +19,11 @@
         if first and (stay or not self._tied(first[0])):
             self._send(call, first[0])
             return
+        if not first:
+            self._stranded(call)
+            return
         self._hold(call)
-        if first and not call.done:
+        if not call.done:
             self._ask(call)
 
     def _lately_idle(self, call: Call) -> list[Upstream]:
@@ -54,7 +57,7 @@
         best = best or self._pick(call, 1)
         up = min(best, key=lambda up: (up.own, up.demoted, up.load), default=None)
         if up is None:
-            self._hold(call)
+            self._stranded(call)
         elif self._hopeless(call, up.load if up in call.seen else 0.0):
             self._end_unserved(call)
         else:
--- a/brackengate/policy/retries.py
+++ b/brackengate/policy/retries.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 from brackengate import interface as api
-from brackengate.policy.state import Call, State
+from brackengate.policy.state import MOST_TRIES, Attempt, Call, State
 
 
 class Retries(State):
-    def _retry(self, call: Call) -> bool:
-        """Whether it may be tried once more; that comes off the ration."""
+    def _retry(self, call: Call, ended: Attempt) -> bool:
+        """Whether it may be tried once more; that comes off the ration unless unsent ones are free."""
+        free = self.settings.free_unsent and ended.outcome is api.Outcome.NOT_SENT
+        if free:
+            call.most = min(call.most + 1, MOST_TRIES)
         unsafe = call.cls.idempotency is api.Idempotency.UNSAFE and call.ran()
-        if self.retries < 1 or unsafe or len(call.attempts) >= self.settings.max_attempts:
+        if (self.retries < 1 and not free) or unsafe or len(call.attempts) >= call.most:
             return False
-        self.retries -= 1
+        self.retries -= 0 if free else 1
         return True
 
     def _end_unserved(self, call: Call) -> None:
--- a/brackengate/policy/sends.py
+++ b/brackengate/policy/sends.py
@@ -1,4 +1,4 @@
-"""The only place that sends; what cannot go now is held."""
+"""The only place that sends, and what becomes of a call that cannot go now."""
 
 from __future__ import annotations
 
@@ -18,11 +18,27 @@
             call.look = self.now + self.recheck
             self._timer(self.recheck, "look", call.id)
 
+    def _stranded(self, call: Call) -> None:
+        """No upstream may take it now: it is held, or where none are it goes to the least bad at once.
+
+        Harm: what rests or is cold gets it then.  Rules 1 to 3 stay; with none left by them it ends.
+        """
+        if self.settings.holds:
+            return self._hold(call)
+        left = [up for up in self.upstreams.values() if self._lets(call, up)]
+        if left:
+            self._go(call, min(left, key=lambda up: (up.own, up.fails, up.last)))
+        else:
+            self._end_unserved(call)
+
     def _send(self, call: Call, up: Upstream) -> None:
-        """The only place that sends."""
-        if not self._may_send(call, up):
-            self._hold(call)
-            return
+        if self._may_send(call, up):
+            self._go(call, up)
+        else:
+            self._stranded(call)
+
+    def _go(self, call: Call, up: Upstream) -> None:
+        """The only place that sends; the gate has been passed."""
         self.waiting.pop(call.id, None)
         up.last = self.assigned = self.assigned + 1
         call.attempts.append(Attempt(up, self.now, up.load if up in call.seen else -1.0))
--- a/brackengate/policy/state.py
+++ b/brackengate/policy/state.py
@@ -14,6 +14,7 @@
 AIM_MARGIN = 0.01  # share of the aim kept for the way back to the client
 RETRY_SHARE = 0.2  # retries a call earns: a storm adds at most this much to the load
 RETRY_BURST = 5.0  # retries that may be saved up
+MOST_TRIES = 8  # attempts of any kind, where those that ended unsent are free
 PROBE_SPEND = 0.016  # the most one pick may spend on probes, as a share of a request's worth
 PROBE_MOST = 8  # probes a pick sends before it settles for the least loaded seen
 PROBE_WIDTH = 2  # probes a pick has out at once: one silent upstream must not hold it up
@@ -88,6 +89,7 @@
     earlier: tuple[api.Earlier, ...] = ()  # of requests before it under the same key; they may have run
     attempts: list[Attempt] = field(default_factory=list)  # what may have run
     live: int = 0
+    most: int = 0  # attempts it may have in all
     done: bool = False
     whole: bool = True  # its body is all there; till then its times are those of a wait for an upstream
     look: int = 0  # when it is looked at again, while it waits
@@ -104,7 +106,6 @@
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.settings, self.rng, self.copies = settings, random.Random(seed), max(1, settings.balancers)
-        self.classes = {c.name: c for c in settings.classes}
         self.upstreams: dict[str, Upstream] = {}
         self.drawn: list[Upstream] = []  # all of them, and some that have gone, to draw one from
         self.calls: dict[str, Call] = {}
@@ -116,19 +117,24 @@
         self.heap: list[tuple[bool, float, float, int, Upstream]] = []
         self.assigned = self.stamp = self.now = self.sent_at = self.asks_failed = self.tokens = 0
         self.sizes, self.gap = 1.0, float(settings.cold_time)  # of all upstreams; mean time between own sends
-        aim = min([c.aim for c in settings.classes], default=settings.cold_time)
-        self.recheck = max(settings.resolution, int(RECHECK * aim))
         affordable = int(PROBE_SPEND / max(settings.probe_price, PROBE_SPEND / PROBE_MOST))
         self.probe_most = affordable if settings.probes and affordable > 1 else 0  # one compares nothing
-        self.top_worth = max([c.worth for c in settings.classes], default=1.0)
+        self._use(settings.classes)
         self.retries, self.unconnected, self.silent, self.closing = RETRY_BURST, 0.0, 0.0, False
         self.best_time = self.queue_time = 0.0
         self.uncut = settings.tier == 0 or not settings.passes_deadline  # deadlines are the client's
         self.idle: Upstream | None = None  # the last to answer, if few waited there
-        self.word_lasts, self.word_waiting = (aim, 0) if self.probe_most else (settings.cold_time, 1)
         self.timers: dict[int, tuple[str, str]] = {}
         self.actions: list[api.Action] = []
 
+    def _use(self, classes: tuple[api.RequestClass, ...]) -> None:
+        """Go by these classes; what was learned of those that keep their name stays."""
+        aim = min([c.aim for c in classes], default=self.settings.cold_time)
+        self.classes = {c.name: c for c in classes}
+        self.recheck = max(self.settings.resolution, int(RECHECK * aim))
+        self.top_worth = max([c.worth for c in classes], default=1.0)
+        self.word_lasts, self.word_waiting = (aim, 0) if self.probe_most else (self.settings.cold_time, 1)
+
     def _timer(self, delay: int, what: str, which: str) -> None:
         self.tokens += 1
         self.timers[self.tokens] = (what, which)
--- a/tests/test_random.py
+++ b/tests/test_random.py
@@ -139,7 +139,14 @@
         world.now = end
 
 
-SETTINGS = [{}, {"probes": True}, {"tier": 1, "max_attempts": 2}, {"list_on_request": True, "cancel": False}]
+SETTINGS = [
+    {},
+    {"probes": True},
+    {"tier": 1, "max_attempts": 2},
+    {"list_on_request": True, "cancel": False},
+    {"holds": False, "tier": 1},
+    {"holds": False, "free_unsent": True, "probes": True},
+]
 
 
 def play(seed: int, settings: dict[str, Any]) -> Play:
