--- a/brackengate/pilot/role.py
+++ b/brackengate/pilot/role.py
@@ -140,9 +140,7 @@
         for server in (self._clients, self._gate_door):
             server.ask_to_go(True)
         grace = self.settings.bounds.grace / 1e6
-        self._loop.call_later(
-            grace * LAST_CALL, self._look_out, self._loop.time() + grace * (1 - LAST_CALL) - SPARE_S
-        )
+        self._loop.call_later(grace * LAST_CALL, self._look_out, self._loop.time() + grace - SPARE_S)
 
     def _look_out(self, until: float) -> None:
         held = self.way.held() + len(self.entry.visits)
--- a/brackengate/pilot/way.py
+++ b/brackengate/pilot/way.py
@@ -14,6 +14,7 @@
 from brackengate.http.message import Arrival, Bad
 from brackengate.http.upstream import Answered
 from brackengate.interface import (
+    Classes,
     Earlier,
     Endpoint,
     Idempotency,
@@ -115,7 +116,9 @@
             tier=TIER,
             cold_share=0.4,
             cold_time=COLD_TIME,
-            max_attempts=5,
+            max_attempts=3,
+            holds=False,
+            free_unsent=True,
             connect_timeout=200_000,
             max_retry_after=RETRY_AFTER,
         )
@@ -145,8 +148,8 @@
         self.node.listed(ListKind.FULL, said)
 
     def classes(self, classes: dict[str, RequestClass]) -> None:
-        self.module.classes = classes
         self.node.classes = classes
+        self.module.handle(self._clock.now(), Classes(tuple(classes.values())))
 
 
 class WayOut:
@@ -228,4 +231,5 @@
 
 def _class_of(route: Route) -> RequestClass:
     kind = Idempotency.REPEATABLE if route.kind == "idempotent" else Idempotency.UNSAFE
-    return RequestClass(route.name, min(route.setpoint, route.cutoff), route.cutoff, kind, late_worth=0.3)
+    aim = min(route.setpoint, route.cutoff)
+    return RequestClass(route.name, aim, route.cutoff, kind, late_worth=0.3, max_attempts=route.attempts)
