Close the gate early when a pilot leaves; promise nothing that a relay may have run

A relay that broke said UNKNOWN, which becomes a promise (503), though the gate that holds the key may have run that try. Change: callers hear of it, the gate closes a longest cutoff before the end; a relay says BROKEN where its request was written.

--- a/brackengate/pilot/entry.py
+++ b/brackengate/pilot/entry.py
@@ -48,6 +48,13 @@
 UNCLAIM_S = 1.0
 SLACK_S = 0.05  # behind a request's deadline, for its upstream to say so itself
 HANGS_S = 2.0  # behind its deadline, an operation is taken for lost
+FREE = (
+    Said.AWAY,
+    Said.FULL,
+    Said.SHED,
+    Said.UNREACHED,
+    Said.UNCLAIMED,
+)  # said by the gate that had the claim
 KEPT_BYTES = 24 << 20
 
 
@@ -310,14 +317,14 @@
             said = hop_of(answer.fields) if answer is not None else None
             if answer is not None and said is Said.RAN:
                 self._answer(visit, passed_on(answer, drop=()))
-            elif said in (Said.BUSY, Said.LATE):
-                self._say(visit, Said.BUSY)
-            else:
-                if said is Said.AWAY or said is Said.SHED:
-                    operation.state = State.UNCLAIMED  # it is free again
-                    self._say(visit, Said.AWAY)
-                    return
-                self._say(visit, Said.UNKNOWN)
+            elif said in FREE:
+                operation.state = State.UNCLAIMED
+                self._say(visit, Said.AWAY)
+            elif said is not None:
+                self._say(visit, said)
+            else:  # the other gate may have begun to run this very try
+                unsent = result.outcome in (Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
+                self._say(visit, Said.UNKNOWN if unsent else Said.BROKEN)
 
         visit.job = self._peers.start(
             name, address, head + visit.arrival.body, done, body=visit.arrival.stream
--- a/brackengate/pilot/gate.py
+++ b/brackengate/pilot/gate.py
@@ -37,6 +37,8 @@
         self._heard = 0
         self._left: set[str] = set()  # lives that have said that they end
         self._drains_since = 0
+        self.leaving = False  # this process will end: callers are to look elsewhere
+        self.closed = False  # this process ends: what is under way is let go on, and nothing new comes
 
     def heard(self, beat: Beat, now: int) -> bool:
         """Take a beat; False: a late one, or one of an earlier life, changes nothing."""
@@ -78,6 +80,8 @@
         beat = self.beat
         if beat is None:
             return "nobody is known here"
+        if self.closed:
+            return "its pilot leaves"
         if wanted != beat.id:
             return "another life"
         if beat.state == "draining" and now - self._drains_since >= self._drain // 2:
@@ -89,7 +93,7 @@
         beat = self.beat
         if beat is None:
             return None
-        state = "gone" if self.silent(now) else beat.state
+        state = "gone" if self.silent(now) else "draining" if self.leaving else beat.state
         return Instance(beat.id, beat.plant, beat.zone or self.zone, state, beat.capacity, beat.warmup)
 
 
--- a/brackengate/pilot/role.py
+++ b/brackengate/pilot/role.py
@@ -40,6 +40,7 @@
 REPORT_S = 0.25  # between two looks whether the core knows what this pilot knows
 REPORT_WITHIN_S = 1.0
 LAST_CALL = 0.55  # of the grace: clients still come until two looks at readiness have failed
+NEWS_S = 0.3  # for the news that the gate will close
 SPARE_S = 0.6  # of the grace, at its end
 
 
@@ -140,8 +141,20 @@
         for server in (self._clients, self._gate_door):
             server.ask_to_go(True)
         grace = self.settings.bounds.grace / 1e6
+        longest = max((route.cutoff for route in self.table.routes()), default=0) / 1e6
+        open_for = max(NEWS_S, min(grace * LAST_CALL, grace - SPARE_S - longest - NEWS_S))
+        self._loop.call_later(open_for - NEWS_S, self._leave_the_list)
+        self._loop.call_later(open_for, self._close_gate)
         self._loop.call_later(grace * LAST_CALL, self._look_out, self._loop.time() + grace - SPARE_S)
 
+    def _leave_the_list(self) -> None:
+        """Callers hear that they are to look elsewhere before the gate closes."""
+        self.gate.leaving = True
+        self._reconcile()
+
+    def _close_gate(self) -> None:
+        self.gate.closed = True
+
     def _look_out(self, until: float) -> None:
         held = self.way.held() + len(self.entry.visits)
         if held and self._loop.time() < until:
