--- a/brackengate/lighthouse/view.py
+++ b/brackengate/lighthouse/view.py
@@ -118,11 +118,12 @@
         """Whether what is agreed can't have moved on without it, as far as it can tell."""
         if not self.seated:
             return False
-        others = sum(1 for seat in self.view.seats if seat.addr != self.me and self.hears(seat.addr, now))
+        others = [seat for seat in self.view.seats if seat.addr != self.me]
+        heard = sum(1 for seat in others if self.hears(seat.addr, now) and not self._wiped(seat))
         ahead = any(
             peer.said is not None and peer.said.epoch > self.view.epoch for peer in self.peers.values()
         )
-        return others + 1 >= self.view.majority and not ahead
+        return heard + 1 >= self.view.majority and not ahead
 
     def zones(self) -> dict[str, str]:
         """The members by address, with their zones."""
--- /dev/null
+++ b/tests/lighthouse/test_core.py
@@ -0,0 +1,337 @@
+"""The core under faults: what was acknowledged stands, whoever is lost within what may be lost."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+from corekit import Core
+from testtools import TestCase
+from testtools.matchers import Equals, HasLength
+from timeline import play
+
+from brackengate.signals.words import Amend, Claim, Read
+
+
+class Mending(TestCase):
+    def test_a_key_is_claimed_once_wherever_it_is_asked(self) -> None:
+        _, answers = play(
+            """
+            ms    | A              B              C
+            1500  | head           in             in
+            2000  | claim k1 g1
+            2000  |                claim k2 g2
+            2300  |                               claim k1 g2
+            2300  | serves         serves         serves
+            """
+        )
+        self.assertThat(answers, Equals({"k1 g1": "ok", "k2 g2": "ok", "k1 g2": "held by g1"}))
+
+    def test_the_chain_goes_on_without_its_head(self) -> None:
+        _, answers = play(
+            """
+            ms    | A              B              C
+            2000  | claim k1 g1
+            2100  | down
+            2101  |                               claim k2 g2
+            2400  |                head           in
+            2500  |                claim k1 g3
+            4000  | up
+            6000  | in             head           in
+            6000  | has k2
+            """
+        )
+        self.assertThat(answers, Equals({"k1 g1": "ok", "k2 g2": "ok", "k1 g3": "held by g1"}))
+
+    def test_the_chain_goes_on_without_its_tail(self) -> None:
+        _, answers = play(
+            """
+            ms    | A              B              C
+            2000  |                               down
+            2050  | claim k1 g1
+            2400  | head           in
+            4000  |                               up
+            6000  |                               has k1
+            """
+        )
+        self.assertThat(answers, Equals({"k1 g1": "ok"}))
+
+    def test_a_member_that_is_cut_off_says_so_and_comes_back_by_a_snapshot(self) -> None:
+        _, answers = play(
+            """
+            ms    | A              B              C
+            2000  |                cut
+            3500  | in             away           in
+            3500  |                claim k1 g1
+            3500  | claim k2 g2
+            5000  |                heal
+            8000  |                has k2
+            8000  |                serves
+            """
+        )
+        self.assertThat(answers, Equals({"k1 g1": "ok", "k2 g2": "ok"}))  # the first one once it is back
+
+    def test_a_head_that_is_cut_off_acknowledges_nothing_more(self) -> None:
+        _, answers = play(
+            """
+            ms    | A              B              C
+            2000  | cut
+            2010  | claim k1 g1
+            4000  |                claim k1 g2
+            4000  | away
+            6000  | heal
+            9000  | has k1
+            """
+        )
+        self.assertThat(answers, Equals({"k1 g1": "held by g2", "k1 g2": "ok"}))
+
+    def test_a_member_that_only_hears_is_put_out(self) -> None:
+        _, answers = play(
+            """
+            ms    | A              B              C
+            2000  | mute
+            4000  |                head           in
+            4000  |                claim k1 g1
+            6000  | heal
+            9000  | has k1
+            """
+        )
+        self.assertThat(answers, Equals({"k1 g1": "ok"}))
+
+    def test_a_frozen_head_wakes_and_is_no_head_any_more(self) -> None:
+        _, answers = play(
+            """
+            ms    | A              B              C
+            2000  | freeze 3000
+            2100  | claim k1 g1
+            4000  |                claim k1 g2
+            4000  |                head           in
+            8000  | in             head           in
+            """
+        )
+        self.assertThat(answers["k1 g2"], Equals("ok"))
+        self.assertThat(answers["k1 g1"], Equals("held by g2"))
+
+    def test_a_disk_that_stalls_does_not_hold_up_the_chain(self) -> None:
+        _, answers = play(
+            """
+            ms    | A              B              C
+            2000  |                stall 4000
+            2050  | claim k1 g1
+            3800  | claim k2 g2
+            4000  | in             out            in
+            9000  |                has k2
+            """
+        )
+        self.assertThat(answers, Equals({"k1 g1": "ok", "k2 g2": "ok"}))
+
+    def test_each_half_of_four_waits_for_the_other(self) -> None:
+        core, answers = play(
+            """
+            ms    | A              B              C              D
+            1500  | in             in             in             in
+            2000  | cut            cut
+            3500  | claim k1 g1                   claim k1 g2
+            3900  | away                          away
+            6000  | heal
+            """,
+            seeds=3,
+        )
+        self.assertThat(sorted(answers.values())[0], Equals("held by g1" if answers["k1 g1"] == "ok" else "held by g2"))
+        self.assertThat({view.epoch for view in core.views().values()}, HasLength(1))
+
+    def test_seeds_are_exchanged_for_new_machines(self) -> None:
+        _, answers = play(
+            """
+            ms    | A              B              C              D              E
+            0     |                                              down           down
+            2000  | claim k1 g1
+            3000  |                                              up
+            5000  | down                                         in
+            7000  |                                                             up
+            9000  |                down                          in             in
+            12000 |                               in             has k1         has k1
+            12000 |                                              claim k1 g2
+            """
+        )
+        self.assertThat(answers, Equals({"k1 g1": "ok", "k1 g2": "held by g1"}))
+
+
+class Losses(TestCase):
+    def test_all_are_killed_and_come_back(self) -> None:
+        _, answers = play(
+            """
+            ms    | A              B              C
+            2000  | claim k1 g1
+            2100  | down           down           down
+            2900  | up             up             up
+            4000  |                claim k1 g2    has k1
+            """
+        )
+        self.assertThat(answers, Equals({"k1 g1": "ok", "k1 g2": "held by g1"}))
+
+    def test_a_disk_is_lost_while_the_others_lose_power(self) -> None:
+        for lost in "ABC":
+            cells = {name: "wipe" if name == lost else "down" for name in "ABC"}
+            _, answers = play(
+                f"""
+                ms    | A              B              C
+                2000  | claim k1 g1
+                2100  | {cells["A"]:14} {cells["B"]:14} {cells["C"]:14}
+                2900  | up             up             up
+                6000  | has k1         has k1         has k1
+                6000  | claim k1 g2
+                """
+            )
+            self.assertThat(answers, Equals({"k1 g1": "ok", "k1 g2": "held by g1"}), lost)
+
+    def test_a_voter_with_an_empty_disk_has_no_vote(self) -> None:
+        """B knows of the second view alone.  With C's empty disk it must not make a third one."""
+        _, answers = play(
+            """
+            ms    | A              B              C
+            2000  | claim k1 g1
+            2200  | down                          wipe
+            2900  |                               up
+            4500  |                away           out
+            4500  |                claim k2 g2
+            5500  | up
+            8000  | in             has k1         has k1
+            """
+        )
+        self.assertThat(answers, Equals({"k1 g1": "ok", "k2 g2": "ok"}))
+
+    def test_of_two_members_one_may_lose_its_disk(self) -> None:
+        _, answers = play(
+            """
+            ms    | A              B              C
+            2000  | claim k1 g1                   down
+            4000  | claim k2 g2
+            4200  | wipe
+            5000  | up
+            8000  | has k2         head
+            """
+        )
+        self.assertThat(answers, Equals({"k1 g1": "ok", "k2 g2": "ok"}))
+
+    def test_power_is_lost_around_each_step_of_an_acknowledgement(self) -> None:
+        """Whatever was said to be done by then is found, at every moment between the first store and the last."""
+        for late in range(0, 8_000, 250):
+            core = Core([f"10.0.0.{n}:80" for n in (1, 2, 3)], seed=late)
+            said: list[Any] = []
+            hosts = list(core.hosts.values())
+            core.run(2_000_000)
+            hosts[1].ask(Claim("k1", "g1", "1"), said.append)
+            core.run(core.now + late)
+            acknowledged = list(said)
+            for host in hosts:
+                host.stop(wipe=host is hosts[late % 3])
+            for host in hosts:
+                core.later(500_000, host.start)
+            core.run(core.now + 6_000_000)
+            again: list[Any] = []
+            hosts[2].ask(Claim("k1", "g2", "2"), again.append)
+            core.run(core.now + 2_000_000)
+            if acknowledged:
+                self.assertThat(again, Equals([{"gate": "g1", "attempt": "1"}]), f"{late} us")
+            else:
+                self.assertThat(again, HasLength(1), f"{late} us")
+
+    def test_a_chain_shorter_than_what_may_be_lost_takes_no_writes(self) -> None:
+        _, answers = play(
+            """
+            ms    | A              B              C
+            2000  |                down           down
+            3000  | claim k1 g1
+            3500  | away
+            """
+        )
+        self.assertThat(answers, Equals({"k1 g1": "silent"}))
+
+
+class Configuration(TestCase):
+    def test_two_operators_race_and_the_higher_version_holds_everywhere(self) -> None:
+        core = Core([f"10.0.0.{n}:80" for n in (1, 2, 3)], seed=3)
+        hosts, said = list(core.hosts.values()), list[Any]()
+        core.run(2_000_000)
+        plant = '{"Apply":{"Plants":[{"Name":"p","HealthPath":"/%s","Revision":"r%d"}]}}'
+        hosts[0].ask(Amend(plant % ("old", 4)), said.append)
+        hosts[2].ask(Amend(plant % ("new", 7)), said.append)
+        hosts[1].ask(Amend(plant % ("older", 2)), said.append)
+        core.run(core.now + 1_000_000)
+        self.assertThat(said, Equals([{"ok": True}] * 3))
+        for host in hosts:
+            read: list[Any] = []
+            host.ask(Read(), read.append)
+            core.run(core.now + 500_000)
+            self.assertThat(read[0]["Plants"], Equals([{"Name": "p", "HealthPath": "/new", "Revision": "r7"}]))
+
+    def test_what_is_published_never_goes_back_and_is_agreed(self) -> None:
+        core = Core([f"10.0.0.{n}:80" for n in (1, 2, 3)], seed=5)
+        hosts = list(core.hosts.values())
+        core.run(2_000_000)
+        for version in range(1, 30):
+            body = '{"Apply":{"Plants":[{"Name":"p","Revision":"r%d"}]}}' % version
+            hosts[version % 3].ask(Amend(body), lambda _: None)
+            core.run(core.now + 100_000)
+            if version == 10:
+                hosts[0].stop()
+            if version == 20:
+                hosts[0].start()
+        for host in hosts:
+            seen = [rows[0][2][0] for place, rows in host.published if place >= 0]
+            self.assertThat(seen, Equals(sorted(set(seen))), host.name)
+
+
+@pytest.mark.parametrize("members", [3, 4, 5])
+@pytest.mark.parametrize("seed", range(4))
+def test_drawn_faults_lose_no_claim_and_grant_none_twice(members: int, seed: int) -> None:
+    core, rng = Core([f"10.0.0.{n}:80" for n in range(members)], seed), random.Random(seed)
+    hosts, granted, count = list(core.hosts.values()), dict[str, str](), [0]
+
+    def client() -> None:
+        if count[0] < 700:
+            count[0] += 1
+            key = f"k{rng.randrange(1, count[0] + 1)}" if rng.random() < 0.4 else f"k{count[0]}"
+            gate = f"g{count[0]}"
+
+            def done(result: Any) -> None:
+                if result is not None and "gate" not in result:
+                    assert granted.setdefault(key, gate) == gate
+                elif result is not None:
+                    assert granted.get(key, result["gate"]) == result["gate"]
+
+            rng.choice(hosts).ask(Claim(key, gate, "1"), done)
+            core.later(rng.randrange(50_000), client)
+
+    def fault() -> None:
+        if core.now > 16_000_000:
+            return
+        host, lasts = rng.choice(hosts), rng.randrange(500_000, 3_000_000)
+        others = [(host.name, other.name) for other in hosts if other is not host]
+        kind = rng.choice(("down", "wipe", "cut", "mute", "stall", "freeze", "all"))
+        if kind in ("down", "wipe"):
+            host.stop(wipe=kind == "wipe")
+            core.later(lasts, host.start)
+        elif kind in ("cut", "mute"):
+            core.cut([*others, *((b, a) for a, b in others if kind == "cut")])
+            core.later(lasts, core.heal)
+        elif kind == "stall":
+            host.stalled_until = core.now + lasts
+        elif kind == "freeze":
+            host.frozen_until = core.now + lasts
+        else:
+            for one in hosts:
+                one.stop()
+                core.later(rng.randrange(100_000, 1_000_000), one.start)
+        core.later(lasts + 4_500_000, fault)
+
+    core.later(1_500_000, client)
+    core.later(2_500_000, fault)
+    core.run(28_000_000)
+    assert len({view.epoch for view in core.views().values()}) == 1
+    for host in hosts:
+        assert host.member is not None and host.member.chain.whole
+        assert [key for key in granted if ("key", key) not in host.member.chain.rows] == []
+    assert len(granted) > 200
--- /dev/null
+++ b/tests/pilot/test_deciders.py
@@ -0,0 +1,144 @@
+"""What a pilot decides without a socket: table, gate, load, hop, and whom it follows."""
+
+from __future__ import annotations
+
+from testtools import TestCase
+from testtools.matchers import Equals, HasLength, LessThan
+
+from brackengate.pilot.follow import order
+from brackengate.pilot.gate import Beat, Gate, Operations, State
+from brackengate.pilot.hop import HOP, Step, step_of
+from brackengate.pilot.load import Load
+from brackengate.pilot.table import Table, choose, host_of
+from brackengate.signals.items import Part
+
+MS, S = 1_000, 1_000_000
+
+
+def route(name: str, prefix: str, version: int, plant: str = "p") -> tuple[str, str, object]:
+    body = {
+        "Name": name,
+        "PathPrefix": prefix,
+        "SignalKind": "idempotent",
+        "Cutoff": "1s",
+        "Plant": plant,
+        "Revision": f"r{version}",
+    }
+    return "route", name, [version, "h.example", body]
+
+
+class Following(TestCase):
+    def test_the_longest_prefix_of_the_host_is_taken(self) -> None:
+        table = Table()
+        table.snapshot(1, [route("a", "/a/", 1), route("ab", "/a/b/", 1)])
+        found = [table.find("h.example", path) for path in ("/a/b/c", "/a/bc", "/a/b/", "/a", "/x/a/")]
+        self.assertThat([one.name if one else None for one in found], Equals(["ab", "a", "ab", None, None]))
+        self.assertThat(table.find("other.example", "/a/b"), Equals(None))
+
+    def test_no_item_goes_back_whichever_lighthouse_says_so(self) -> None:
+        table = Table()
+        table.snapshot(5, [route("a", "/new/", 7)])
+        table.snapshot(4, [route("a", "/old/", 3)])
+        table.changes(6, [route("a", "/old/", 3)])
+        self.assertThat(table.find("h.example", "/new/x") is not None, Equals(True))
+        self.assertThat(table.find("h.example", "/old/x"), Equals(None))
+
+    def test_upstreams_that_a_snapshot_does_not_name_are_gone(self) -> None:
+        table, one = Table(), {"id": "i-1", "plant": "p", "zone": "z", "state": "ready"}
+        table.snapshot(1, [("inst", "10.0.0.1", one), ("inst", "10.0.0.2", {**one, "id": "i-2"})])
+        table.snapshot(9, [("inst", "10.0.0.2", {**one, "id": "i-3"})])
+        self.assertThat({name: it.id for name, it in table.instances.items()}, Equals({"10.0.0.2": "i-3"}))
+
+    def test_weights_and_hosts(self) -> None:
+        parts = (Part("a", 90), Part("b", 0), Part("c", 10))
+        self.assertThat([choose(parts, at) for at in (0.0, 0.89, 0.9, 0.999)], Equals(["a", "a", "c", "c"]))
+        self.assertThat([host_of(b"H.example:80"), host_of(b"h.example")], Equals(["h.example"] * 2))
+
+    def test_pilots_of_a_zone_without_a_member_spread_over_the_others(self) -> None:
+        members = [("a", "z1"), ("b", "z2"), ("c", "z3")]
+        first = [order(f"10.0.0.{n}", "z4", members)[0] for n in range(60)]
+        self.assertThat(max(first.count(one) for one in "abc"), LessThan(35))
+        self.assertThat({order(f"10.0.0.{n}", "z2", members)[0] for n in range(9)}, Equals({"b"}))
+
+
+class Gates(TestCase):
+    """    ms | upstream                     | requests"""
+
+    def gate(self) -> Gate:
+        gate = Gate("z", 1500 * MS, 2 * S)
+        gate.heard(Beat("i-1", "p", "ready", 6, 0, 1), 0)
+        return gate
+
+    def test_only_its_own_life_of_the_upstream_is_reached(self) -> None:
+        gate = self.gate()
+        self.assertThat([gate.admits("i-1", 0), bool(gate.admits("i-0", 0))], Equals(["", True]))
+        gate.heard(Beat("i-2", "p", "ready", 6, 0, 1), 10)
+        self.assertThat([bool(gate.admits("i-1", 10)), gate.admits("i-2", 10)], Equals([True, ""]))
+        gate.heard(Beat("i-1", "p", "ready", 6, 0, 9), 20)  # a late beat of the life before
+        self.assertThat(gate.admits("i-2", 20), Equals(""))
+
+    def test_nothing_reaches_a_draining_upstream_near_its_drain_time(self) -> None:
+        gate = self.gate()
+        gate.heard(Beat("i-1", "p", "draining", 6, 0, 2), 1 * S)
+        gate.heard(Beat("i-1", "p", "ready", 6, 0, 3), 1 * S)  # there is no way back
+        self.assertThat([gate.admits("i-1", 1500 * MS), bool(gate.admits("i-1", 2 * S))], Equals(["", True]))
+        report = gate.report(2 * S)
+        self.assertThat(report is not None and report.state, Equals("draining"))
+
+    def test_an_upstream_that_has_left_and_one_that_is_silent_are_gone(self) -> None:
+        gate = self.gate()
+        self.assertThat([gate.silent(5 * S), gate.silent(6 * S)], Equals([False, True]))
+        gate.leaves("i-1")
+        self.assertThat([bool(gate.admits("i-1", 1)), gate.report(1)], Equals([True, None]))
+        self.assertThat(gate.heard(Beat("i-1", "p", "ready", 6, 0, 99), 2), Equals(False))
+
+    def test_a_pilot_that_leaves_tells_first_and_then_closes(self) -> None:
+        gate = self.gate()
+        gate.leaving = True
+        report = gate.report(0)
+        self.assertThat([gate.admits("i-1", 0), report and report.state], Equals(["", "draining"]))
+        gate.closed = True
+        self.assertThat(bool(gate.admits("i-1", 0)), Equals(True))
+
+    def test_operations_are_forgotten_by_bytes_and_age_but_never_at_work(self) -> None:
+        held = Operations(60 * S, most_bytes=1000)
+        busy = held.begin("busy", "1", 0)
+        for n in range(20):
+            held.keep(held.begin(f"k{n}", "1", n), "answer", 100)
+        held.get("none", 100)
+        self.assertThat(held.get("busy", 100) is busy, Equals(True))
+        busy.state = State.LOST
+        self.assertThat(held.get("busy", 100), Equals(None))
+        self.assertThat(held.get("k19", 200 * S), Equals(None))
+
+
+class Loads(TestCase):
+    def loaded(self, running: int) -> Load:
+        load = Load()
+        load.slots = 4
+        for _ in range(50):
+            load.ended(load.sent("r", 0), 100 * MS, True)
+        for _ in range(running):
+            load.sent("r", 0)
+        return load
+
+    def test_a_free_slot_takes_anything(self) -> None:
+        self.assertThat(self.loaded(3).takes("r", 1, 1, False), Equals(True))
+
+    def test_what_would_be_late_is_turned_away_and_what_came_again_goes_first(self) -> None:
+        takes = [self.loaded(n).takes("r", 300 * MS, 800 * MS, False) for n in range(3, 14)]
+        self.assertThat(takes.index(False), Equals(7))  # seven wait: 175 ms is more than 0.85 of the rest
+        self.assertThat(self.loaded(11).takes("r", 300 * MS, 800 * MS, True), Equals(True))
+
+    def test_one_that_is_late_anyway_waits_behind_few(self) -> None:
+        takes = [self.loaded(n).takes("r", -100 * MS, 400 * MS, False) for n in range(3, 14)]
+        self.assertThat(takes, HasLength(11))
+        self.assertThat(takes.index(False), Equals(4))
+
+
+class Hops(TestCase):
+    def test_a_step_is_read_as_it_was_said(self) -> None:
+        for step in (Step("i-1", True, 2, True, -40, True, "r-1"), Step("i-1", False, route="x")):
+            name, _, value = step.lines().strip().partition(b": ")
+            self.assertThat([name, step_of({HOP.lower(): value})], Equals([HOP, step]))
+        self.assertThat(step_of({}), Equals(None))
