--- a/brackengate/cli.py
+++ b/brackengate/cli.py
@@ -35,6 +35,7 @@
 from brackengate.cli_versions import config, routes
 from brackengate.installation.reading import BadFile, loads, read_text
 from brackengate.logs import FORMAT, start_log
+from brackengate.mesh import lighthouse, pilot
 
 log = logging.getLogger("brackengate")
 
@@ -69,6 +70,8 @@
 main.add_command(config)
 main.add_command(cells)
 main.add_command(lab)
+main.add_command(pilot)
+main.add_command(lighthouse)
 main.add_command(plan)
 
 
--- a/brackengate/mesh.py
+++ b/brackengate/mesh.py
@@ -14,7 +14,8 @@
 import click
 import uvloop
 
-from brackengate.signals.settings import VARIABLE, BadSettings, Settings, load
+from brackengate.signals.settings import LIGHTHOUSE, PILOT, VARIABLE, BadSettings, Settings, load
+from brackengate.signals.settings import check as check_settings
 
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
@@ -37,7 +38,7 @@
     """The mesh's two roles, one a machine."""
 
 
-def _read(path: str, level: str) -> Settings:
+def _read(path: str, level: str, needed: tuple[str, ...]) -> Settings:
     logging.basicConfig(
         stream=sys.stderr,
         level=level,
@@ -45,9 +46,11 @@
         datefmt="%H:%M:%S",
     )
     try:
-        return load(path)
-    except BadSettings as error:
-        _fail(str(error), 2)
+        settings = load(path)
+        check_settings(settings, needed, path)
+    except* BadSettings as group:
+        _fail("\nbrackengate: ".join(str(error) for error in group.exceptions), 2)
+    return settings
 
 
 def _fail(text: str, code: int) -> NoReturn:
@@ -72,8 +75,9 @@
 @level_option
 def pilot(path: str, check: bool, log_level: str) -> None:
     """Beside an upstream: carry its requests out, and let in those that are for it."""
-    settings = _read(path, log_level)
+    settings = _read(path, log_level, PILOT)
     if check:
+        click.echo(f"{path}: sound for a pilot")
         return
     from brackengate.pilot.role import serve
 
@@ -86,8 +90,9 @@
 @level_option
 def lighthouse(path: str, check: bool, log_level: str) -> None:
     """On a core machine: keep what is agreed, and bring it to the pilots."""
-    settings = _read(path, log_level)
+    settings = _read(path, log_level, LIGHTHOUSE)
     if check:
+        click.echo(f"{path}: sound for a lighthouse")
         return
     from brackengate.lighthouse.role import serve
 
--- a/brackengate/signals/settings.py
+++ b/brackengate/signals/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import tomllib
 from pathlib import Path
 from typing import Any
@@ -124,8 +125,27 @@
     return parse(text, path)
 
 
+PILOT = ("Listen.Inbound", "Listen.Outbound", "Listen.Readiness", "Listen.Control", "Application", "Plant")
+LIGHTHOUSE = ("Listen.Control", "DataDir")
+
+
+def check(settings: Settings, needed: tuple[str, ...], source: str) -> None:
+    """What a role can't do without; an exception group of `BadSettings` names all that is missing."""
+    missing: list[BadSettings] = []
+    for key in needed:
+        held: Any = settings
+        for part in key.split("."):
+            held = getattr(held, re.sub(r"(?<!^)(?=[A-Z])", "_", part).lower())
+        if not held:
+            missing.append(BadSettings(f"{source}: {key} is missing; this role needs it"))
+    if settings.internal_ports[0] < 1 or settings.internal_ports[1] < settings.internal_ports[0]:
+        missing.append(BadSettings(f"{source}: InternalPorts must be two ports, the lower one first"))
+    if missing:
+        raise ExceptionGroup("settings", missing)
+
+
 def plain(address: At | None, key: str) -> Address:
     """An address that a role cannot do without."""
     if address is None:
-        raise BadSettings(f"Listen.{key} is missing; an address as host:port is needed for this role")
+        raise BadSettings(f"Listen.{key} is missing; this role needs it")
     return address[0], address[1]
--- a/tests/lighthouse/test_core.py
+++ b/tests/lighthouse/test_core.py
@@ -138,7 +138,9 @@
             """,
             seeds=3,
         )
-        self.assertThat(sorted(answers.values())[0], Equals("held by g1" if answers["k1 g1"] == "ok" else "held by g2"))
+        self.assertThat(
+            sorted(answers.values())[0], Equals("held by g1" if answers["k1 g1"] == "ok" else "held by g2")
+        )
         self.assertThat({view.epoch for view in core.views().values()}, HasLength(1))
 
     def test_seeds_are_exchanged_for_new_machines(self) -> None:
@@ -265,7 +267,9 @@
             read: list[Any] = []
             host.ask(Read(), read.append)
             core.run(core.now + 500_000)
-            self.assertThat(read[0]["Plants"], Equals([{"Name": "p", "HealthPath": "/new", "Revision": "r7"}]))
+            self.assertThat(
+                read[0]["Plants"], Equals([{"Name": "p", "HealthPath": "/new", "Revision": "r7"}])
+            )
 
     def test_what_is_published_never_goes_back_and_is_agreed(self) -> None:
         core = Core([f"10.0.0.{n}:80" for n in (1, 2, 3)], seed=5)
--- a/tests/lighthouse/timeline.py
+++ b/tests/lighthouse/timeline.py
@@ -56,7 +56,9 @@
         what = (Claim if word == "claim" else Unclaim)(key, gate, f"{gate}.1")
 
         def done(result: Any) -> None:
-            answers[name] = "none" if result is None else f"held by {result['gate']}" if "gate" in result else "ok"
+            answers[name] = (
+                "none" if result is None else f"held by {result['gate']}" if "gate" in result else "ok"
+            )
 
         host.ask(what, done)
     elif word in ("down", "wipe"):
--- a/tests/pilot/test_deciders.py
+++ b/tests/pilot/test_deciders.py
@@ -62,7 +62,7 @@
 
 
 class Gates(TestCase):
-    """    ms | upstream                     | requests"""
+    """ms | upstream                     | requests"""
 
     def gate(self) -> Gate:
         gate = Gate("z", 1500 * MS, 2 * S)
