--- a/brackengate/lighthouse/chain.py
+++ b/brackengate/lighthouse/chain.py
@@ -1,12 +1,13 @@
 """The log of changes as a chain: entered at the head, stored by each in turn, answered from the tail.  Pure.
 
-A member stores an entry before it passes it on, so each one's log is a prefix of the log of the one before it.
-What the tail has stored is on every disk of the view: it is agreed, and word of that goes back up the chain.
-Only what is agreed is published, so nothing published is ever taken back.  The log is kept as the latest value of
-each row with the place of its entry: what follows a place is the rows with a higher one.
-
-Asks may come to any member, which sends them to the head until it hears what became of them; asking again does no
-harm, as each ask says what is wanted and not a step towards it.  Times are microseconds of a steady clock.
+A member stores an entry before it passes it on, so each one's log is a prefix of the log of the one before
+it. What the tail has stored is on every disk of the view: it is agreed, and word of that goes back up the
+chain. Only what is agreed is published, so nothing published is ever taken back.  The log is kept as the
+latest value of each row with the place of its entry: what follows a place is the rows with a higher one.
+
+Asks may come to any member, which sends them to the head until it hears what became of them; asking again
+does no harm, as each ask says what is wanted and not a step towards it.  Times are microseconds of a steady
+clock.
 """
 
 from __future__ import annotations
--- a/brackengate/lighthouse/store.py
+++ b/brackengate/lighthouse/store.py
@@ -1,8 +1,8 @@
 """What a lighthouse keeps on disk: one sqlite file, synced at each commit.
 
-`locking_mode=EXCLUSIVE` keeps the index of the write-ahead log in memory: no shared mapping, and locks are of no use
-on a disk that only one process has.  A commit is synced as a whole (`synchronous=FULL`); what a loss of power tears
-behind the last sync is found by the log's own checksums and left out.
+`locking_mode=EXCLUSIVE` keeps the index of the write-ahead log in memory: no shared mapping, and locks are
+of no use on a disk that only one process has.  A commit is synced as a whole (`synchronous=FULL`); what a
+loss of power tears behind the last sync is found by the log's own checksums and left out.
 """
 
 from __future__ import annotations
--- a/brackengate/lighthouse/view.py
+++ b/brackengate/lighthouse/view.py
@@ -1,13 +1,14 @@
 """Who holds the log: views, agreed one after the other by the majority of the one before.  Pure.
 
-Each view is one decision among the seats of the view before it, by ballots (single-decree Paxos).  A seat that
-has promised seals its epoch: it stores nothing more in it, so nothing more can be acknowledged there.  Every
-acknowledged write is on all seats' disks, and any majority has one that promised: so the first seat of the new
-view holds all of it.
-
-A seat is an address and the life of its disk.  A member whose disk was lost is another one: it has no vote, and
-its old seat is given up, until it has been let in anew.  The duty to mend is the first live seat's; a later one
-takes it up after a pause for each seat before it.  Times are microseconds of a clock that never steps.
+Each view is one decision among the seats of the view before it, by ballots (single-decree Paxos).  A seat
+that has promised seals its epoch: it stores nothing more in it, so nothing more can be acknowledged there.
+Every acknowledged write is on all seats' disks, and any majority has one that promised: so the first seat of
+the new view holds all of it.
+
+A seat is an address and the life of its disk.  A member whose disk was lost is another one: it has no vote,
+and its old seat is given up, until it has been let in anew.  The duty to mend is the first live seat's; a
+later one takes it up after a pause for each seat before it.  Times are microseconds of a clock that never
+steps.
 """
 
 from __future__ import annotations
--- a/brackengate/pilot/entry.py
+++ b/brackengate/pilot/entry.py
@@ -1,7 +1,7 @@
 """The gate's carrier: requests from other pilots, through the gate, to the upstream on this machine.
 
-Keyed requests are claimed at the core before they are passed on, so that their operation runs once whatever is lost.
-A repeat gets the first one's answer: from here, or from the gate that has it.
+Keyed requests are claimed at the core before they are passed on, so that their operation runs once whatever
+is lost. A repeat gets the first one's answer: from here, or from the gate that has it.
 """
 
 from __future__ import annotations
@@ -112,7 +112,8 @@
         peers: Pool,
         address_of: Callable[[str], Address],
     ) -> None:
-        """`pool`: to the upstream alone.  `peers`: to other pilots.  `me`: this machine's name among gates."""
+        """`pool`: to the upstream alone.  `peers`: to other pilots.  `me`: this machine's name among
+        gates."""
         self._loop, self._clock, self._pool, self._gate = loop, clock, pool, gate
         self._me, self._application, self._ask = me, application, ask
         self._peers, self._address_of = peers, address_of
--- a/brackengate/pilot/follow.py
+++ b/brackengate/pilot/follow.py
@@ -1,8 +1,8 @@
 """A pilot's link to the lighthouses: it follows the log of changes, and asks.
 
-Nearest first: a member in its own zone, then the others in an order of its own (rendezvous hashing), so that those
-who lose theirs do not all go to the same one.  Silence, a broken connection or `Away` moves it on.  Asks that have
-no answer are asked again wherever it goes: each says what is wanted, so again does no harm.
+Nearest first: a member in its own zone, then the others in an order of its own (rendezvous hashing), so that
+those who lose theirs do not all go to the same one.  Silence, a broken connection or `Away` moves it on.
+Asks that have no answer are asked again wherever it goes: each says what is wanted, so again does no harm.
 """
 
 from __future__ import annotations
@@ -165,9 +165,11 @@
             return
         self._loop.call_later(HOME_S, self._look_home)
         best = order(self.me, self.zone, self._members.items())[:1]
-        if self._link is not None and self._link.good and self._home is None and best:
-            if self._members[best[0]] == self.zone and self._link.addr != best[0]:
-                self._home = Link(self, best[0])
+        link = self._link
+        if link is None or not link.good or self._home is not None or not best:
+            return
+        if self._members[best[0]] == self.zone and link.addr != best[0]:
+            self._home = Link(self, best[0])
 
     def line(self, link: Link, word: Line) -> None:
         if isinstance(word, Away):
--- a/brackengate/pilot/gate.py
+++ b/brackengate/pilot/gate.py
@@ -1,8 +1,8 @@
 """The gate beside an upstream: which requests may reach it, and which operation runs here.  Pure.
 
-Only the pilot on its machine reaches an upstream, so what is turned away here reaches none: it has not run and never
-will.  The gate knows the upstream's present life and state from its beats, whatever the core knows.
-Times are microseconds of a steady clock.
+Only the pilot on its machine reaches an upstream, so what is turned away here reaches none: it has not run
+and never will.  The gate knows the upstream's present life and state from its beats, whatever the core
+knows. Times are microseconds of a steady clock.
 """
 
 from __future__ import annotations
@@ -31,7 +31,8 @@
 
 class Gate:
     def __init__(self, zone: str, every: int, drain: int) -> None:
-        """`every`: between two beats.  `drain`: for which a leaving upstream still takes requests at the most."""
+        """`every`: between two beats.  `drain`: for which a leaving upstream still takes requests at the
+        most."""
         self.zone, self._every, self._drain = zone, every, drain
         self.beat: Beat | None = None
         self._heard = 0
@@ -122,7 +123,8 @@
 
 
 class Operations:
-    """Bounded in time and bytes.  What is forgotten here is still claimed at the core: it never runs again."""
+    """Bounded in time and bytes.  What is forgotten here is still claimed at the core: it never runs
+    again."""
 
     def __init__(self, window: int, most_bytes: int) -> None:
         self._window, self._most = window, most_bytes
--- a/brackengate/pilot/hop.py
+++ b/brackengate/pilot/hop.py
@@ -1,6 +1,7 @@
 """What one pilot says to the next about a request, beside the request itself.  Pure.
 
-One header each way, `X-Brackengate-Hop`.  It is the pilots' own: one that a client or an upstream sends is dropped.
+One header each way, `X-Brackengate-Hop`.  It is the pilots' own: one that a client or an upstream sends is
+dropped.
 """
 
 from __future__ import annotations
@@ -23,7 +24,8 @@
 HOP = b"X-Brackengate-Hop"
 
 HOP_BY_HOP = frozenset(
-    b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade expect content-length".split()
+    b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade expect"
+    b" content-length".split()
 )
 _STEP = re.compile(rb"([srk]) ([0-9]{1,4}) (-?[0-9]{1,9}) ([01]) ([!-~]{1,200}) ([!-~]{1,200})")
 
--- a/brackengate/pilot/load.py
+++ b/brackengate/pilot/load.py
@@ -1,8 +1,9 @@
-"""What an upstream can still take: the gate's own count against its slots, and what waiting there would cost.  Pure.
+"""What an upstream can still take: the gate's own count against its slots, and what waiting there would
+cost.  Pure.
 
-The gate sees all that its upstream is given, so it knows what no caller can: how many are before a request.  One that
-would come too late is turned away at once, while another upstream may still take it, and before it holds up others.
-Times are microseconds.
+The gate sees all that its upstream is given, so it knows what no caller can: how many are before a request.
+One that would come too late is turned away at once, while another upstream may still take it, and before it
+holds up others. Times are microseconds.
 """
 
 from __future__ import annotations
--- a/brackengate/pilot/table.py
+++ b/brackengate/pilot/table.py
@@ -79,7 +79,8 @@
         return self._routes.values()
 
     def find(self, host: str, path: str) -> Route | None:
-        """Of the host's routes the one with the longest prefix that begins the path; prefixes end with a slash."""
+        """Of the host's routes the one with the longest prefix that begins the path; prefixes end with a
+        slash."""
         prefixes = self._hosts.get(host, {})
         end = path.rfind("/") + 1
         while end > 0:
--- a/brackengate/pilot/way.py
+++ b/brackengate/pilot/way.py
@@ -48,7 +48,8 @@
 
 @dataclass(slots=True)
 class Outgoing(Message):
-    """A request on its way to another pilot: the target and the time that is left differ with each attempt."""
+    """A request on its way to another pilot: the target and the time that is left differ with each
+    attempt."""
 
     keyed: bool = False
     route_name: str = ""
--- a/brackengate/signals/door.py
+++ b/brackengate/signals/door.py
@@ -1,4 +1,5 @@
-"""HTTP towards those who are not of the system, on the present program's own server: listening, paths, bodies."""
+"""HTTP towards those who are not of the system, on the present program's own server: listening, paths,
+bodies."""
 
 from __future__ import annotations
 
--- a/brackengate/signals/words.py
+++ b/brackengate/signals/words.py
@@ -67,8 +67,8 @@
 class Claim(msgspec.Struct, tag_field="t", tag="claim", frozen=True):
     """This gate wants to be the only one to run this operation.
 
-    `instead`: an earlier claim of its own, of which it does not know whether it stands.  It is replaced, so that
-    whatever was said of the earlier one and comes late finds it gone.
+    `instead`: an earlier claim of its own, of which it does not know whether it stands.  It is replaced, so
+    that whatever was said of the earlier one and comes late finds it gone.
     """
 
     key: str
--- a/tests/lighthouse/corekit.py
+++ b/tests/lighthouse/corekit.py
@@ -1,7 +1,8 @@
-"""A core of lighthouses in simulated time: links, disks and faults drawn from a seed.  The deciders run as they are.
+"""A core of lighthouses in simulated time: links, disks and faults drawn from a seed.  The deciders run as
+they are.
 
-A disk keeps what was stored whole; what was under way when power is lost is gone.  A link keeps the order of its
-lines; a cut holds them up and loses them when it is healed.
+A disk keeps what was stored whole; what was under way when power is lost is gone.  A link keeps the order of
+its lines; a cut holds them up and loses them when it is healed.
 """
 
 from __future__ import annotations
@@ -205,7 +206,8 @@
                 there.hear(host.name, line)
 
     def connect(self, host: Host) -> None:
-        """A process that starts, or links that are healed: what was under way is lost, both sides meet anew."""
+        """A process that starts, or links that are healed: what was under way is lost, both sides meet
+        anew."""
         for other in self.hosts.values():
             for one, two in ((host, other), (other, host)):
                 pair = (one.name, two.name)
--- a/tests/lighthouse/test_core.py
+++ b/tests/lighthouse/test_core.py
@@ -218,7 +218,8 @@
         self.assertThat(answers, Equals({"k1 g1": "ok", "k2 g2": "ok"}))
 
     def test_power_is_lost_around_each_step_of_an_acknowledgement(self) -> None:
-        """Whatever was said to be done by then is found, at every moment between the first store and the last."""
+        """Whatever was said to be done by then is found, at every moment between the first store and the
+        last."""
         for late in range(0, 8_000, 250):
             core = Core([f"10.0.0.{n}:80" for n in (1, 2, 3)], seed=late)
             said: list[Any] = []
@@ -276,7 +277,7 @@
         hosts = list(core.hosts.values())
         core.run(2_000_000)
         for version in range(1, 30):
-            body = '{"Apply":{"Plants":[{"Name":"p","Revision":"r%d"}]}}' % version
+            body = f'{{"Apply":{{"Plants":[{{"Name":"p","Revision":"r{version}"}}]}}}}'
             hosts[version % 3].ask(Amend(body), lambda _: None)
             core.run(core.now + 100_000)
             if version == 10:
--- a/tests/lighthouse/timeline.py
+++ b/tests/lighthouse/timeline.py
@@ -5,9 +5,10 @@
     3000  | down
     5000  |                claim k1 g2
 
-What a cell may say: `claim KEY GATE`, `free KEY GATE`; `down`, `wipe` (down, and the disk is lost), `up`; `cut`
-(from all), `mute` (what it sends is lost), `heal`; `stall MS` (its disk), `freeze MS`; and what is looked at: `head`,
-`in`, `out` (of the view), `has KEY`, `serves`, `away`.  Answers are kept by cell, as in `answers["k1 g1"]`.
+What a cell may say: `claim KEY GATE`, `free KEY GATE`; `down`, `wipe` (down, and the disk is lost), `up`;
+`cut` (from all), `mute` (what it sends is lost), `heal`; `stall MS` (its disk), `freeze MS`; and what is
+looked at: `head`, `in`, `out` (of the view), `has KEY`, `serves`, `away`.  Answers are kept by cell, as in
+`answers["k1 g1"]`.
 """
 
 from __future__ import annotations
@@ -25,7 +26,8 @@
 
 
 def play(text: str, seed: int = 1, enough: int = 2, seeds: int = 3) -> tuple[Core, dict[str, str]]:
-    """Play it to 8 s behind its last line; the core, and what became of each ask: ok, held by a gate, or none."""
+    """Play it to 8 s behind its last line; the core, and what became of each ask: ok, held by a gate, or
+    none."""
     lines = [line for line in text.splitlines() if "|" in line]
     title, body = lines[0], lines[1:]
     starts = [(m.start(), m[0]) for m in re.finditer(r"\S+", title) if m.start() > title.index("|")]
--- a/tests/signals/test_items.py
+++ b/tests/signals/test_items.py
@@ -26,7 +26,9 @@
 
 def call(*routes: dict[str, Any], host: str = "h", plants: Any = (PLANT,), remove: Any = ()) -> bytes:
     hosts = [{"Host": host, "Paths": list(routes)}]
-    return json.dumps({"Apply": {"Plants": list(plants), "Hosts": hosts}, "Remove": {"Routes": list(remove)}}).encode()
+    return json.dumps(
+        {"Apply": {"Plants": list(plants), "Hosts": hosts}, "Remove": {"Routes": list(remove)}}
+    ).encode()
 
 
 @pytest.mark.parametrize(
@@ -71,7 +73,9 @@
         held |= effect(read_call(call(plants=(), remove=[{"Name": "r", "Revision": "r9"}])), held)
         self.assertThat(held["route", "r"].body, Equals(None))
         self.assertThat(effect(read_call(call({**ROUTE, "Revision": "r8"})), held), Equals({}))
-        self.assertThat(set(effect(read_call(call({**ROUTE, "Revision": "r10"})), held)), Equals({("route", "r")}))
+        self.assertThat(
+            set(effect(read_call(call({**ROUTE, "Revision": "r10"})), held)), Equals({("route", "r")})
+        )
 
     def test_a_place_may_go_to_another_route_in_one_call_and_not_beside_it(self) -> None:
         held, other = self.held(), {**ROUTE, "Name": "other", "Revision": "r9"}
--- a/tests/signals/test_settings.py
+++ b/tests/signals/test_settings.py
@@ -35,8 +35,16 @@
 
 def test_a_sound_file_is_read_with_its_units_and_unknown_fields_are_left_alone() -> None:
     settings = parse(GOOD)
-    assert (settings.feedback, settings.bounds.grace, settings.bounds.apply_time) == (1_500_000, 6_000_000, 2_000_000)
-    assert (settings.listen.outbound, settings.lighthouse_port, settings.enough) == (("10.1.0.8", 8304), 7620, 2)
+    assert (settings.feedback, settings.bounds.grace, settings.bounds.apply_time) == (
+        1_500_000,
+        6_000_000,
+        2_000_000,
+    )
+    assert (settings.listen.outbound, settings.lighthouse_port, settings.enough) == (
+        ("10.1.0.8", 8304),
+        7620,
+        2,
+    )
 
 
 @pytest.mark.parametrize(
@@ -66,4 +74,7 @@
     path.write_text(GOOD.replace('Inbound = "10.1.0.8:8300"', "").replace('Plant = "p"', ""))
     lacking = run.invoke(main, ["pilot", "--settings", str(path), "--check"])
     assert lacking.exit_code == 2
-    assert [line.partition(": ")[2].split(" ")[1] for line in lacking.output.splitlines()] == ["Listen.Inbound", "Plant"]
+    assert [line.partition(": ")[2].split(" ")[1] for line in lacking.output.splitlines()] == [
+        "Listen.Inbound",
+        "Plant",
+    ]
