--- /dev/null
+++ b/benchmarks/mesh.py
@@ -0,0 +1,112 @@
+"""What the mesh costs and how fast it is, on loopback with real processes.
+
+    python -m benchmarks.mesh                    # 3 lighthouses, 6 pilots
+    python -m benchmarks.mesh --pilots 12 --rounds 5
+
+Processor time for a request on a pilot and for a claim on a lighthouse, memory, the time from an acknowledgement to the
+effect on the last pilot, and the time that a keyed request waits while a killed head is mended away.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import statistics
+import tempfile
+import time
+from pathlib import Path
+
+from standins.mesh import Machine, Mesh, call
+
+REQUESTS = 1500
+AT_ONCE = 16
+
+
+async def load(mesh: Mesh, keyed: bool, tag: str) -> float:
+    """Run requests over all pilots; the seconds that it took."""
+    numbers = iter(range(REQUESTS))
+    begun = time.perf_counter()
+
+    async def caller() -> None:
+        for n in numbers:
+            side = mesh.sides[n % len(mesh.sides)]
+            key = f"{tag}-{n}" if keyed else ""
+            status = (await mesh.request(side, "/bid/x" if keyed else "/read/x", key=key, attempt=f"{tag}{n}"))[0]
+            if status != 200:
+                raise SystemExit(f"a request was answered {status}")
+
+    await asyncio.gather(*(caller() for _ in range(AT_ONCE)))
+    return time.perf_counter() - begun
+
+
+def cpu(machines: list[Machine]) -> float:
+    return sum(machine.cpu_s() for machine in machines if machine.process is not None)
+
+
+async def spread(mesh: Mesh, n: int) -> tuple[float, float]:
+    """Of a new route: seconds until it is acknowledged, and from there until the last pilot has it."""
+    begun = time.perf_counter()
+    await mesh.amend([(f"new{n}", f"/new{n}/", "idempotent")])
+    acknowledged = time.perf_counter()
+
+    async def has(side: Machine) -> None:
+        while (await mesh.request(side, f"/new{n}/x"))[0] == 404:
+            await asyncio.sleep(0.001)
+
+    await asyncio.gather(*(has(side) for side in mesh.sides))
+    return acknowledged - begun, time.perf_counter() - acknowledged
+
+
+async def mend(mesh: Mesh, n: int) -> float:
+    """Kill the head; seconds until a keyed request at another pilot is served.  Then it comes back."""
+    head = mesh.core[0]
+    head.end()
+    begun = time.perf_counter()
+    while (await mesh.request(mesh.sides[1], "/bid/x", key=f"mend-{n}", attempt=f"mend{n}"))[0] != 200:
+        await asyncio.sleep(0.005)
+    took = time.perf_counter() - begun
+    mesh.restart(head)
+    while True:
+        try:
+            if (await call(head.ip, mesh.ports.control, "POST", "/v1/rpc?call=config.read"))[0] == 200:
+                break
+        except OSError:
+            pass
+        await asyncio.sleep(0.05)
+    mesh.core.append(mesh.core.pop(0))  # it came back as the tail: the next one is the head now
+    await asyncio.sleep(1.0)
+    return took
+
+
+async def main(pilots: int, rounds: int) -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        mesh = Mesh(Path(folder), pilots=pilots)
+        try:
+            await mesh.start()
+            await load(mesh, False, "warm")
+            for kind, keyed in (("read", False), ("keyed", True)):
+                before = cpu(mesh.sides), cpu(mesh.core)
+                took = await load(mesh, keyed, kind)
+                side, core = (now - then for now, then in zip((cpu(mesh.sides), cpu(mesh.core)), before, strict=True))
+                print(
+                    f"{kind}: {REQUESTS / took:.0f} a second; pilots {side / REQUESTS * 1e3:.2f} ms a request"
+                    f" (two hops), lighthouses {core / REQUESTS * 1e3:.2f} ms"
+                )
+            news = [await spread(mesh, n) for n in range(rounds * 4)]
+            for what, values in zip(("acknowledged", "then on the last pilot"), zip(*news, strict=True), strict=True):
+                ms = sorted(value * 1e3 for value in values)
+                print(f"a change, {what}: median {statistics.median(ms):.1f} ms, most {ms[-1]:.1f} ms")
+            mends = [await mend(mesh, n) * 1e3 for n in range(rounds)]
+            print(f"the head is killed: a keyed request waits {statistics.median(mends):.0f} ms, most {max(mends):.0f}")
+            for role, machines in (("lighthouse", mesh.core), ("pilot", mesh.sides)):
+                print(f"memory of a {role}: {max(one.memory_mb() for one in machines):.0f} MB at the peak")
+        finally:
+            await mesh.stop()
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--pilots", type=int, default=6)
+    parser.add_argument("--rounds", type=int, default=3)
+    arguments = parser.parse_args()
+    asyncio.run(main(arguments.pilots, arguments.rounds))
--- /dev/null
+++ b/tests/pilot/test_processes.py
@@ -0,0 +1,70 @@
+"""The roles as processes on loopback: kills and ends in order, as an installation would see them."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from collections import Counter
+from pathlib import Path
+
+from standins.mesh import Mesh
+
+FIRST_PORT = 19000 + (os.getpid() % 200) * 16  # each worker has its own
+
+
+def runs(mesh: Mesh, prefix: str) -> Counter[str]:
+    return Counter(key for upstream in mesh.upstreams for _, key in upstream.ran if key.startswith(prefix))
+
+
+def test_keys_run_once_and_an_end_in_order_loses_nothing(tmp_path: Path) -> None:
+    async def bids(mesh: Mesh, prefix: str, count: int) -> list[tuple[int, bytes]]:
+        """Each key at two pilots at once, again until both have the answer."""
+
+        async def bid(n: int, side: int) -> tuple[int, bytes]:
+            for again in range(12):
+                target = mesh.sides[(n + side) % len(mesh.sides)]
+                try:
+                    status, _, body = await mesh.request(
+                        target, "/bid/x", key=f"{prefix}{n}", attempt=f"{prefix}{n}.{side}.{again}"
+                    )
+                except OSError:
+                    continue
+                if status == 200:
+                    return status, body
+            return status, body
+
+        return list(await asyncio.gather(*(bid(n, side) for n in range(count) for side in (0, 1))))
+
+    async def play() -> None:
+        mesh = Mesh(tmp_path, pilots=3, first_port=FIRST_PORT)
+        try:
+            await mesh.start()
+            # The head is killed while keys are being claimed.
+            work = asyncio.create_task(bids(mesh, "a", 30))
+            mesh.core[0].end()
+            answers = await work
+            assert [status for status, _ in answers] == [200] * 60
+            assert all(answers[n] == answers[n + 1] for n in range(0, 60, 2))  # a repeat gets the first answer
+            assert set(runs(mesh, "a").values()) == {1}
+            # It comes back with an empty disk; another one is killed; what was claimed stands.
+            mesh.restart(mesh.core[0], wipe=True)
+            await mesh.amend([("later", "/later/", "idempotent")])
+            while (await mesh.request(mesh.sides[2], "/later/x"))[0] != 200:
+                await asyncio.sleep(0.02)
+            mesh.core[1].end()
+            await bids(mesh, "a", 30)
+            assert set(runs(mesh, "a").values()) == {1}
+            mesh.restart(mesh.core[1])
+            # A pilot is told to leave under load: what it has read is answered.
+            reads = [asyncio.create_task(mesh.request(mesh.sides[0], "/read/x", attempt=f"r{n}")) for n in range(40)]
+            await asyncio.sleep(0)
+            process = mesh.sides[0].process
+            assert process is not None
+            process.send_signal(signal.SIGTERM)
+            assert [status for status, _, _ in await asyncio.gather(*reads)] == [200] * 40
+            assert await asyncio.to_thread(process.wait, 10) == 0
+        finally:
+            await mesh.stop()
+
+    asyncio.run(asyncio.wait_for(play(), 60))
