One round over the upstreams, no try without time; a restarted pilot knows its upstream

Change: the module's one_round (off elsewhere); those answers are time-outs to it; the gate takes the core's last word until a first beat is overdue; a pilot that leaves says away, not draining.

--- a/brackengate/interface.py
+++ b/brackengate/interface.py
@@ -105,6 +105,7 @@
     probe_price: float = 0.0  # points for each probe, as a share of one request's worth
     holds: bool = True  # False: what no upstream may take now goes to the least bad one, or ends
     free_unsent: bool = False  # True: attempts that ended unsent count for nothing, up to 8 in all
+    one_round: bool = False  # True: it ends once all that serve turned it away, or too little time is left
 
 
 # --- events ---------------------------------------------------------------------------------
--- a/brackengate/pilot/gate.py
+++ b/brackengate/pilot/gate.py
@@ -13,6 +13,7 @@
 
 from brackengate.signals.words import Instance
 
+ADOPTED_BEATS = 1.5  # for so long what an earlier process knew holds without a beat
 SILENT_BEATS = 3.4  # an upstream that lets as many beats pass is taken for gone
 
 
@@ -58,10 +59,15 @@
         self.beat, self._heard = beat, now
         return True
 
-    def probed(self, id_: str, well: bool, plant: str, now: int) -> None:
-        """What an upstream's health answer says, where no beat has come since this process began."""
-        if self.beat is None and well:
-            self.beat, self._heard = Beat(id_, plant, "ready", 1, 0, 0, self.zone), now
+    def adopt(self, known: Instance, now: int) -> None:
+        """What the core last heard of this machine, until the first beat says what is.
+
+        Guards against the time that a restarted pilot would turn everything away.  The upstream itself turns
+        away what is for an earlier life.
+        """
+        if self.beat is None and not self._left and known.state in ("ready", "away"):
+            self.beat = Beat(known.id, known.plant, "ready", known.capacity, 0, 0, known.zone)
+            self._heard = now - int((SILENT_BEATS - ADOPTED_BEATS) * self._every)
 
     def leaves(self, id_: str) -> None:
         self._left.add(id_)
@@ -83,6 +89,8 @@
             return "nobody is known here"
         if self.closed:
             return "its pilot leaves"
+        if beat.count == 0 and self.silent(now):
+            return "no beat has come yet"
         if wanted != beat.id:
             return "another life"
         if beat.state == "draining" and now - self._drains_since >= self._drain // 2:
@@ -94,7 +102,7 @@
         beat = self.beat
         if beat is None:
             return None
-        state = "gone" if self.silent(now) else "draining" if self.leaving else beat.state
+        state = "gone" if self.silent(now) else "away" if self.leaving else beat.state
         return Instance(beat.id, beat.plant, beat.zone or self.zone, state, beat.capacity, beat.warmup)
 
 
--- a/brackengate/pilot/role.py
+++ b/brackengate/pilot/role.py
@@ -100,7 +100,7 @@
                 self._budget,
             ),
         ]
-        self._reporting = False
+        self._reporting = self._adopted = False
 
     @property
     def ready(self) -> bool:
@@ -207,6 +207,10 @@
     # --- what is followed
 
     def _changed(self, kinds: set[str]) -> None:
+        known = self.table.instances.get(self.settings.ip)
+        if known is not None and known.plant == self.settings.plant and not self._adopted:
+            self.gate.adopt(known, self.clock.now())
+        self._adopted = True
         self.way.changed(kinds)
         self._reconcile()
 
--- a/brackengate/pilot/way.py
+++ b/brackengate/pilot/way.py
@@ -75,8 +75,8 @@
         outcome = Outcome.CONNECT_FAILED
     elif said is Said.BROKEN:
         outcome = Outcome.RESET
-    else:
-        outcome = Outcome.ERROR
+    else:  # it may have run, or its operation has; that tells nothing of the upstream
+        outcome = Outcome.TIMEOUT
     return Result(outcome, answer=answer)
 
 
@@ -120,6 +120,7 @@
             max_attempts=3,
             holds=False,
             free_unsent=True,
+            one_round=True,
             connect_timeout=200_000,
             max_retry_after=RETRY_AFTER,
         )
--- a/brackengate/policy/retries.py
+++ b/brackengate/policy/retries.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 from brackengate import interface as api
-from brackengate.policy.state import MOST_TRIES, Attempt, Call, State
+from brackengate.policy.overload import Overload
+from brackengate.policy.state import MOST_TRIES, Attempt, Call
 
 
-class Retries(State):
+class Retries(Overload):
     def _retry(self, call: Call, ended: Attempt) -> bool:
         """Whether it may be tried once more; that comes off the ration unless unsent ones are free."""
         free = self.settings.free_unsent and ended.outcome is api.Outcome.NOT_SENT
+        if self.settings.one_round and (self._all_turned_away(call) or self._hopeless(call, 0.0)):
+            return False
         if free:
             call.most = min(call.most + 1, MOST_TRIES)
         unsafe = call.cls.idempotency is api.Idempotency.UNSAFE and call.ran()
@@ -18,6 +21,11 @@
         self.retries -= 0 if free else 1
         return True
 
+    def _all_turned_away(self, call: Call) -> bool:
+        """Guards against asking a full fleet again and again: it is full for the next one too."""
+        away = {a.upstream.id for a in call.attempts if a.outcome is api.Outcome.NOT_SENT}
+        return bool(away) and all(up.id in away for up in self.upstreams.values() if up.serving)
+
     def _end_unserved(self, call: Call) -> None:
         """Refuse where the rules let it be claimed and the client would come back anyway, else fail."""
         keyed_all = call.cls.idempotency is api.Idempotency.KEYED and call.cls.key_scope is api.KeyScope.ALL
--- a/tests/test_mesh_policy.py
+++ b/tests/test_mesh_policy.py
@@ -282,3 +282,27 @@
     world = World((), holds=False, max_retry_after=advice)
     name, actions = world.call()
     assert actions == [api.Refuse(name, advice)]
+
+
+# --- one_round: True -----------------------------------------------------------------------------
+
+
+def test_one_round_ends_once_all_that_serve_have_turned_it_away():
+    world = World(rows(3), free_unsent=True, holds=False, one_round=True)
+    assert sorted(unsent_until_it_ends(world)) == ["u0", "u1", "u2"]
+    world.list(api.Endpoint("u1", state=DRAINING))
+    assert sorted(unsent_until_it_ends(world)) == ["u0", "u2"]
+
+
+def test_one_round_tries_nothing_that_has_no_time_left():
+    for one_round in (False, True):
+        world = World(rows(2), free_unsent=True, holds=False, one_round=one_round, tier=1)
+        for _ in range(20):
+            name, upstream = world.sent()
+            world.wait(100_000)
+            world.ended(name, upstream, OK)
+        name, upstream = world.sent()
+        call = world.balancer.calls[name]
+        world.wait(call.answer_by - world.now - 20_000)
+        went = sends(world.ended(name, upstream, api.Outcome.ERROR))
+        assert bool(went) is not one_round
