Let work of a lower rank leave room at the gate for what can wait less

Change: at the gate, a kind waits no longer than half of what work of a higher rank that came lately can bear, or 0.8 beside its own rank. Ranks are the operator's Priority.

--- a/brackengate/pilot/entry.py
+++ b/brackengate/pilot/entry.py
@@ -150,8 +150,9 @@
         """Whether it would be answered in time here, as far as that can be told."""
         if self._gate.beat is not None:
             self.load.slots = max(1, self._gate.beat.capacity)
-        left = visit.deadline - self._clock.now()
-        return self.load.takes(visit.step.route, visit.step.aim_ms * 1000, left, visit.step.again)
+        now, step = self._clock.now(), visit.step
+        left = visit.deadline - now
+        return self.load.takes(step.route, step.rank, step.aim_ms * 1000, left, step.again, now)
 
     # --- the upstream
 
--- a/brackengate/pilot/hop.py
+++ b/brackengate/pilot/hop.py
@@ -27,7 +27,7 @@
     b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade expect"
     b" content-length".split()
 )
-_STEP = re.compile(rb"([srk]) ([0-9]{1,4}) (-?[0-9]{1,9}) ([01]) ([!-~]{1,200}) ([!-~]{1,200})")
+_STEP = re.compile(rb"([srk]) ([0-9]{1,4}) (-?[0-9]{1,9}) ([01]) ([0-9]{1,9}) ([!-~]{1,200}) ([!-~]{1,200})")
 
 
 class Said(Enum):
@@ -60,11 +60,13 @@
     aim_ms: int = 0  # until its answer loses worth
     again: bool = False  # its client was refused before
     route: str = "-"
+    rank: int = 0  # its route's priority; 0 is the highest
 
     def lines(self) -> bytes:
         kind = b"r" if self.replay else b"k" if self.keyed else b"s"
         names = self.instance.encode("latin-1", "replace"), (self.route or "-").encode("ascii", "replace")
-        return b"%s: %s %d %d %d %s %s\r\n" % (HOP, kind, self.number, self.aim_ms, self.again, *names)
+        numbers = self.number, self.aim_ms, self.again, self.rank
+        return b"%s: %s %d %d %d %d %s %s\r\n" % (HOP, kind, *numbers, *names)
 
 
 def step_of(fields: dict[bytes, bytes]) -> Step | None:
@@ -72,8 +74,8 @@
     if found is None:
         return None
     keyed, replay = found[1] != b"s", found[1] == b"r"
-    instance, route = found[5].decode("latin-1"), found[6].decode("latin-1")
-    return Step(instance, keyed, int(found[2]), replay, int(found[3]), found[4] == b"1", route)
+    instance, route = found[6].decode("latin-1"), found[7].decode("latin-1")
+    return Step(instance, keyed, int(found[2]), replay, int(found[3]), found[4] == b"1", route, int(found[5]))
 
 
 def hop_of(fields: dict[bytes, bytes]) -> Said | None:
--- a/brackengate/pilot/way.py
+++ b/brackengate/pilot/way.py
@@ -55,10 +55,13 @@
     route_name: str = ""
     aim_before_end_ms: int = 0  # how long before its deadline its answer loses worth
     again: bool = False
+    rank: int = 0
 
     def payload(self, remaining_ms: int, upstream: str, number: int) -> bytes:
         aim = remaining_ms - self.aim_before_end_ms
-        step = Step(upstream, self.keyed, number, aim_ms=aim, again=self.again, route=self.route_name)
+        step = Step(
+            upstream, self.keyed, number, aim_ms=aim, again=self.again, route=self.route_name, rank=self.rank
+        )
         return b"%s%s%s: %d\r\n\r\n%s" % (self.head, step.lines(), DEADLINE, remaining_ms, self.body)
 
 
@@ -216,6 +219,7 @@
         head = forwarded(arrival, drop=(CALLER, DEADLINE, HOP)) + b"%s: %s\r\n" % (CALLER, self._plant)
         message = Outgoing(head, arrival.body, stream=arrival.stream, keyed=keyed, route_name=route.name)
         message.aim_before_end_ms = max(0, route.cutoff - route.setpoint) // 1000
+        message.rank = max(0, route.priority)
         message.again = limit < AGAIN_PART * route.cutoff
         connection.hold(partial(service.node.gone, request.request, connection))
         service.node.submit(request, message, connection)
--- a/tests/pilot/test_deciders.py
+++ b/tests/pilot/test_deciders.py
@@ -124,32 +124,47 @@
 
 
 class Loads(TestCase):
-    def loaded(self, running: int) -> Load:
+    def loaded(self, running: int, **means: int) -> Load:
         load = Load()
         load.slots = 4
-        for _ in range(50):
-            load.ended(load.sent("r", 0), 100 * MS, True)
+        for kind, mean in (means or {"r": 100 * MS}).items():
+            for _ in range(50):
+                load.ended(load.sent(kind, 0), mean, True)
         for _ in range(running):
             load.sent("r", 0)
         return load
 
     def test_a_free_slot_takes_anything(self) -> None:
-        self.assertThat(self.loaded(3).takes("r", 1, 1, False), Equals(True))
+        self.assertThat(self.loaded(3).takes("r", 2, 1, 1, False, 0), Equals(True))
 
     def test_what_would_be_late_is_turned_away_and_what_came_again_goes_first(self) -> None:
-        takes = [self.loaded(n).takes("r", 300 * MS, 800 * MS, False) for n in range(3, 14)]
+        takes = [self.loaded(n).takes("r", 2, 300 * MS, 700 * MS, False, 0) for n in range(3, 14)]
         self.assertThat(takes.index(False), Equals(7))  # seven wait: 175 ms is more than 0.85 of the rest
-        self.assertThat(self.loaded(11).takes("r", 300 * MS, 800 * MS, True), Equals(True))
+        self.assertThat(self.loaded(11).takes("r", 2, 300 * MS, 700 * MS, True, 0), Equals(True))
 
     def test_one_that_is_late_anyway_waits_behind_few(self) -> None:
-        takes = [self.loaded(n).takes("r", -100 * MS, 400 * MS, False) for n in range(3, 14)]
-        self.assertThat(takes, HasLength(11))
+        takes = [self.loaded(n).takes("r", 2, -100 * MS, 400 * MS, False, 0) for n in range(3, 14)]
         self.assertThat(takes.index(False), Equals(4))
 
+    def test_work_of_a_lower_rank_leaves_room_for_what_can_wait_less(self) -> None:
+        """Calls of 20 ms that others wait for, beside reads of 100 ms that may wait for 300."""
+        for rank, may_wait in ((1, 1), (2, 2), (3, 6)):  # of the call: above, beside, below the reads
+            takes = []
+            for n in range(4, 16):
+                load = self.loaded(n, call=20 * MS, r=100 * MS)
+                load.takes("call", rank, 100 * MS, 200 * MS, False, 0)
+                takes.append(load.takes("r", 2, 300 * MS, 700 * MS, False, 0))
+            self.assertThat(takes.index(False), Equals(may_wait), f"rank {rank}")
+        load = self.loaded(8, call=20 * MS, r=100 * MS)
+        load.takes("call", 1, 100 * MS, 200 * MS, False, 0)
+        self.assertThat(
+            load.takes("r", 2, 300 * MS, 700 * MS, False, 3 * S), Equals(True)
+        )  # none came of late
+
 
 class Hops(TestCase):
     def test_a_step_is_read_as_it_was_said(self) -> None:
-        for step in (Step("i-1", True, 2, True, -40, True, "r-1"), Step("i-1", False, route="x")):
+        for step in (Step("i-1", True, 2, True, -40, True, "r-1", 2), Step("i-1", False, route="x")):
             name, _, value = step.lines().strip().partition(b": ")
             self.assertThat([name, step_of({HOP.lower(): value})], Equals([HOP, step]))
         self.assertThat(step_of({}), Equals(None))
