--- a/brackengate/pilot/follow.py
+++ b/brackengate/pilot/follow.py
@@ -21,7 +21,7 @@
 
 log = logging.getLogger("brackengate.follow")
 
-SILENT = 1_300_000  # a member beats every 0.4 s
+SILENT = 900_000  # a member beats every 0.3 s
 PAUSE_S = 0.1
 HOME_S = 4.0  # between two looks whether a nearer member is there again
 
@@ -146,9 +146,10 @@
         if link is self._home:
             self._home = None
         elif link is self._link:
-            if link.good:
+            if link.good:  # the others first: whoever has just gone silent would be waited for in vain
                 log.info("follow: left %s: %s", link.addr, why)
-                self._turn = []
+                others = order(self.me, self.zone, self._members.items())
+                self._turn = [*(addr for addr in others if addr != link.addr), link.addr]
             self._link = None
             self._loop.call_later(PAUSE_S if not self._turn else 0.0, self._next)
 
