--- a/benchmarks/mesh.py
+++ b/benchmarks/mesh.py
@@ -3,8 +3,8 @@
     python -m benchmarks.mesh                    # 3 lighthouses, 6 pilots
     python -m benchmarks.mesh --pilots 12 --rounds 5
 
-Processor time for a request on a pilot and for a claim on a lighthouse, memory, the time from an acknowledgement to the
-effect on the last pilot, and the time that a keyed request waits while a killed head is mended away.
+Processor time for a request on a pilot and for a claim on a lighthouse, memory, the time from an
+acknowledgement to the effect on the last pilot, and the time that a keyed request waits while a killed head is mended away.
 """
 
 from __future__ import annotations
@@ -31,7 +31,8 @@
         for n in numbers:
             side = mesh.sides[n % len(mesh.sides)]
             key = f"{tag}-{n}" if keyed else ""
-            status = (await mesh.request(side, "/bid/x" if keyed else "/read/x", key=key, attempt=f"{tag}{n}"))[0]
+            target = "/bid/x" if keyed else "/read/x"
+            status = (await mesh.request(side, target, key=key, attempt=f"{tag}{n}"))[0]
             if status != 200:
                 raise SystemExit(f"a request was answered {status}")
 
@@ -87,17 +88,18 @@
             for kind, keyed in (("read", False), ("keyed", True)):
                 before = cpu(mesh.sides), cpu(mesh.core)
                 took = await load(mesh, keyed, kind)
-                side, core = (now - then for now, then in zip((cpu(mesh.sides), cpu(mesh.core)), before, strict=True))
+                side, core = cpu(mesh.sides) - before[0], cpu(mesh.core) - before[1]
                 print(
                     f"{kind}: {REQUESTS / took:.0f} a second; pilots {side / REQUESTS * 1e3:.2f} ms a request"
                     f" (two hops), lighthouses {core / REQUESTS * 1e3:.2f} ms"
                 )
             news = [await spread(mesh, n) for n in range(rounds * 4)]
-            for what, values in zip(("acknowledged", "then on the last pilot"), zip(*news, strict=True), strict=True):
-                ms = sorted(value * 1e3 for value in values)
+            for which, what in enumerate(("acknowledged", "then on the last pilot")):
+                ms = sorted(times[which] * 1e3 for times in news)
                 print(f"a change, {what}: median {statistics.median(ms):.1f} ms, most {ms[-1]:.1f} ms")
             mends = [await mend(mesh, n) * 1e3 for n in range(rounds)]
-            print(f"the head is killed: a keyed request waits {statistics.median(mends):.0f} ms, most {max(mends):.0f}")
+            wait, most = statistics.median(mends), max(mends)
+            print(f"the head is killed: a keyed request waits {wait:.0f} ms, most {most:.0f} ms")
             for role, machines in (("lighthouse", mesh.core), ("pilot", mesh.sides)):
                 print(f"memory of a {role}: {max(one.memory_mb() for one in machines):.0f} MB at the peak")
         finally:
--- a/brackengate/pilot/load.py
+++ b/brackengate/pilot/load.py
@@ -2,8 +2,8 @@
 
 The gate sees all that its upstream is given, so it knows what no caller can: how many are before a request.
 One that would come too late is turned away at once, while another upstream may still take it, and before it
-holds up others.  Work of a lower rank leaves room for that of a higher one which can wait less: else calls that
-others wait for starve behind it.  Pure; times are microseconds.
+holds up others.  Work of a lower rank leaves room for that of a higher one which can wait
+less: else calls that others wait for starve behind it.  Pure; times are microseconds.
 """
 
 from __future__ import annotations
@@ -46,8 +46,8 @@
     def takes(self, name: str, rank: int, aim: int, left: int, again: bool, now: int) -> bool:
         """Whether one of this kind may go to the upstream.
 
-        `rank`: 0 is the highest.  `aim`: until its answer loses worth; `left`: until nobody awaits it; `again`:
-        it was refused before.
+        `rank`: 0 is the highest.  `aim`: until its answer loses worth; `left`: until nobody awaits it;
+        `again`: it was refused before.
         """
         kind = self._kinds.setdefault(name, Kind())
         own = kind.mean or self._all
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -1,7 +1,7 @@
-"""A mesh on loopback: machines by address, upstreams that beat, an operator and callers.  For tests, demo, benchmarks.
+"""A mesh on loopback: machines by address, upstreams that beat, an operator and callers.
 
-Each machine is an address of 127/8; all have the same ports, as the operators' machines do.  Roles are real processes
-of this program; the upstreams live in the process that uses this module.
+Each machine is an address of 127/8; all have the same ports, as the operators' machines do.  Roles are real
+processes of this program; the upstreams live in the process that uses this module.
 """
 
 from __future__ import annotations
@@ -256,7 +256,7 @@
             return False
 
     async def amend(self, routes: list[tuple[str, str, str]], plants: Any = ()) -> int:
-        """Set routes (name, prefix, kind) under a new version at whichever lighthouse takes it; the version."""
+        """Set routes (name, prefix, kind) under a new version at whichever lighthouse takes it."""
         self._version += 1
         paths = [
             {
--- a/tests/pilot/test_deciders.py
+++ b/tests/pilot/test_deciders.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from testtools import TestCase
-from testtools.matchers import Equals, HasLength, LessThan
+from testtools.matchers import Equals, LessThan
 
 from brackengate.pilot.follow import order
 from brackengate.pilot.gate import Beat, Gate, Operations, State
