--- a/brackengate/net/upstream.py
+++ b/brackengate/net/upstream.py
@@ -403,11 +403,11 @@
         bytes_: ByteBudget | None = None,
         wire: Wire | None = None,
         judge: Judge = lambda _, answer: result_of(answer),
-        settle: int = SETTLE,
+        settle: int | None = None,
     ) -> None:
         """`wire`: what it stands on, in place of the machine's clock and sockets.  `judge`: says what a whole
         answer means.  `settle`: how long a connection rests after an answer, in microseconds."""
-        self.judge, self._settle = judge, settle
+        self.judge, self._settle = judge, SETTLE if settle is None else settle
         self.bytes = bytes_ or ByteBudget(MAX_STREAM)
         self.now = wire.now if wire is not None else monotonic_us
         self._new_socket = wire.socket if wire is not None else unconnected
