--- a/brackengate/http/message.py
+++ b/brackengate/http/message.py
@@ -58,6 +58,16 @@
     version: str = "1.1"
     fields: dict[bytes, bytes] = field(default_factory=dict)  # by name in lower case, the last of each
 
+    def framing(self) -> list[bytes]:
+        """The header that tells the body's end to whoever it goes on to; none where it has no body."""
+        if self.stream is not None and self.stream.length is None:
+            return [b"Transfer-Encoding: chunked"]
+        if self.stream is not None:
+            return [b"Content-Length: %d" % (self.stream.length or 0)]
+        if self.body or self.method not in (b"GET", b"HEAD"):
+            return [b"Content-Length: %d" % len(self.body)]
+        return []
+
 
 def response(
     status: int, body: bytes, content_type: bytes, retry_after: int, close: bool, extra: bytes = b""
--- a/brackengate/net/api.py
+++ b/brackengate/net/api.py
@@ -119,12 +119,7 @@
             dropped = NOT_FORWARDED | (named - {b"x-txn", b"idempotency-key", b"host"})
         lines = [b"%s %s HTTP/1.1" % (arrival.method, arrival.target)]
         lines += [b"%s: %s" % (n, v) for n, v in arrival.headers if n.lower() not in dropped]
-        if arrival.stream is not None and arrival.stream.length is None:
-            lines.append(b"Transfer-Encoding: chunked")
-        elif arrival.stream is not None:
-            lines.append(b"Content-Length: %d" % (arrival.stream.length or 0))
-        elif arrival.body or arrival.method != b"GET":
-            lines.append(b"Content-Length: %d" % len(arrival.body))
+        lines += arrival.framing()
         key = headers.get(b"idempotency-key", b"") if cls.idempotency is Idempotency.KEYED else b""
         head = b"\r\n".join(lines) + b"\r\n"
         return request, Message(head, arrival.body, key, stream=arrival.stream, in_pieces=self._in_pieces)
--- a/brackengate/pilot/hop.py
+++ b/brackengate/pilot/hop.py
@@ -94,12 +94,7 @@
         }
     lines = [b"%s %s HTTP/1.1" % (arrival.method, arrival.target)]
     lines += [b"%s: %s" % (name, value) for name, value in arrival.headers if name.lower() not in dropped]
-    if arrival.stream is not None and arrival.stream.length is None:
-        lines.append(b"Transfer-Encoding: chunked")
-    elif arrival.stream is not None:
-        lines.append(b"Content-Length: %d" % (arrival.stream.length or 0))
-    elif arrival.body or arrival.method not in (b"GET", b"HEAD"):
-        lines.append(b"Content-Length: %d" % len(arrival.body))
+    lines += arrival.framing()
     return b"\r\n".join(lines) + b"\r\n"
 
 
--- a/brackengate/pilot/load.py
+++ b/brackengate/pilot/load.py
@@ -79,7 +79,3 @@
         own = (now - ticket.sent) / (1 + ticket.ahead / self.slots)
         ticket.kind.mean += (LEARN if ticket.kind.mean else 1.0) * (own - ticket.kind.mean)
         self._all += (LEARN if self._all else 1.0) * (own - self._all)
-
-    def forget(self, now: int) -> None:
-        """Routes come and go."""
-        self._kinds = {name: kind for name, kind in self._kinds.items() if now - kind.seen < 30 * RECENT}
