Let pilots watch each other, share the budget of tries, and go on behind dead ones

Need: a machine without power was noticed by each caller alone (a connect time-out for each, requests in flight waited to their deadline); the ration of further tries was per pilot, so that its sum grew with the fleet past RetrySlack; and a connection that failed spent an attempt though nothing of it had reached an upstream. A node took three sends at the most, so a fourth upstream was never offered what three had turned away at their gates.

--- a/brackengate/interface.py
+++ b/brackengate/interface.py
@@ -104,7 +104,10 @@
     over_share_worth: float = 1.0
     probe_price: float = 0.0  # points for each probe, as a share of one request's worth
     holds: bool = True  # False: what no upstream may take now goes to the least bad one, or ends
-    free_unsent: bool = False  # True: attempts that ended unsent count for nothing, up to 8 in all
+    free_unsent: bool = False  # True: attempts that reached no upstream count for nothing, up to 8 in all
+    retry_share: float = 0.2  # retries a call earns: a storm adds at most this much to the load
+    retry_burst: float = 5.0  # retries that may be saved up
+    retry_start: float = 5.0  # of these at the start: what an earlier process spent is not known
     one_round: bool = False  # True: it ends once all that serve turned it away, or too little time is left
 
 
@@ -224,6 +227,22 @@
     classes: tuple[RequestClass, ...]
 
 
+@dataclass(slots=True)
+class Ration:
+    """What retries may cost from here on, where a budget is shared and its part has changed."""
+
+    share: float  # retries that a call earns
+    burst: float  # that may be saved up
+
+
+@dataclass(slots=True)
+class Standing:
+    """What others say of an upstream: nobody there answers, or it stands again (or anew)."""
+
+    upstream: str
+    up: bool
+
+
 @dataclass(slots=True)
 class PeerMessage:
     sender: int
@@ -240,6 +259,8 @@
     | TimerFired
     | ProbeEnded
     | Classes
+    | Ration
+    | Standing
     | PeerMessage
 )
 
--- a/brackengate/lighthouse/chain.py
+++ b/brackengate/lighthouse/chain.py
@@ -33,6 +33,7 @@
     Forward,
     Have,
     Line,
+    Noticed,
     Read,
     Report,
     Row,
@@ -238,6 +239,10 @@
                 held = self.rows.get(("inst", name))
                 if held is None or held[1] != value:
                     rows = [("inst", name, value)]
+            case Noticed(watcher, silent):
+                held = self.rows.get(("silent", watcher))
+                if (list(held[1] or ()) if held is not None else []) != list(silent):
+                    rows = [("silent", watcher, list(silent) or None)]
         out = self._append(rows, now)
         self._owed.append(Owed(self.place, addr, word.id, result))
         return out
--- a/brackengate/net/node.py
+++ b/brackengate/net/node.py
@@ -324,6 +324,10 @@
         if self.observer is not None and bool(self._serving) is not served:
             self.observer.serving(not served)
 
+    def told(self, event: Event) -> None:
+        """Word for the module that is neither of requests nor of the list."""
+        self._post(event)
+
     def retire(self) -> None:
         """No upstream any more, and none to come.
 
--- a/brackengate/net/upstream.py
+++ b/brackengate/net/upstream.py
@@ -404,9 +404,12 @@
         wire: Wire | None = None,
         judge: Judge = lambda _, answer: result_of(answer),
         settle: int | None = None,
+        silent_ms: int = 0,
     ) -> None:
         """`wire`: what it stands on, in place of the machine's clock and sockets.  `judge`: says what a whole
-        answer means.  `settle`: how long a connection rests after an answer, in microseconds."""
+        answer means.  `settle`: how long a connection rests after an answer, in microseconds.  `silent_ms`:
+        one whose bytes nobody takes for so long is broken off; 0: for as long as the system says."""
+        self._silent_ms = silent_ms
         self.judge, self._settle = judge, SETTLE if settle is None else settle
         self.bytes = bytes_ or ByteBudget(MAX_STREAM)
         self.now = wire.now if wire is not None else monotonic_us
@@ -500,6 +503,11 @@
             self._oldest.pop(connection, None)
             connection.drop()
 
+    def break_off(self, host: str) -> None:
+        """End every connection to a machine, and what is under way on it, as if they had broken."""
+        for connection in [one for one in self._open if one.address[0] == host]:
+            connection.break_off()
+
     def close(self) -> None:
         self._sweep_timer.cancel()
         for connection in list(self._open):
@@ -521,6 +529,8 @@
                     return
                 raise OSError("out of sockets")
             sock = self._new_socket(address)
+            if self._silent_ms:
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, self._silent_ms)
             made = Connection(self, name, address, sock)
             async with asyncio.timeout(within_s):
                 await self._loop.sock_connect(sock, address)
--- a/brackengate/pilot/gate.py
+++ b/brackengate/pilot/gate.py
@@ -31,10 +31,10 @@
 
 
 class Gate:
-    def __init__(self, zone: str, every: int, drain: int) -> None:
+    def __init__(self, zone: str, every: int, drain: int, life: str = "") -> None:
         """`every`: between two beats.  `drain`: for which a leaving upstream still takes requests at the
-        most."""
-        self.zone, self._every, self._drain = zone, every, drain
+        most.  `life`: of this process."""
+        self.zone, self._every, self._drain, self.life = zone, every, drain, life
         self.beat: Beat | None = None
         self._heard = 0
         self._left: set[str] = set()  # lives that have said that they end
@@ -103,7 +103,8 @@
         if beat is None:
             return None
         state = "gone" if self.silent(now) else "away" if self.leaving else beat.state
-        return Instance(beat.id, beat.plant, beat.zone or self.zone, state, beat.capacity, beat.warmup)
+        zone = beat.zone or self.zone
+        return Instance(beat.id, beat.plant, zone, state, beat.capacity, beat.warmup, self.life)
 
 
 class State(Enum):
--- a/brackengate/pilot/role.py
+++ b/brackengate/pilot/role.py
@@ -4,6 +4,7 @@
 Inbound    entry.py    requests from pilots: gate, key, the upstream beside this one
 Control    beats.py    the upstream's beats
 lighthouse follow.py   the log of changes in; reports and claims out
+pilots     watcher.py  signs of life, to and from the few others that watch this one
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 import logging
 import random
 import resource
+import secrets
 import signal
 from collections.abc import Iterable
 
@@ -27,15 +29,17 @@
 from brackengate.pilot.follow import Following
 from brackengate.pilot.gate import Beat, Gate
 from brackengate.pilot.table import Table
+from brackengate.pilot.watcher import Watcher
 from brackengate.pilot.way import WayOut, judge
 from brackengate.signals import settings as files
 from brackengate.signals.door import Readiness, listener
 from brackengate.signals.settings import BadSettings, Settings, plain
-from brackengate.signals.words import Report
+from brackengate.signals.words import Instance, Report
 
 log = logging.getLogger("brackengate.pilot")
 
 CONNECT_S = 0.25
+SILENT_MS = 500  # a pilot's machine that takes no bytes for so long is given up: a cut says nothing
 IDLE_S = 9.0  # kept connections; an upstream's own limit comes first where it says so
 REPORT_S = 0.25  # between two looks whether the core knows what this pilot knows
 REPORT_WITHIN_S = 1.0
@@ -59,8 +63,8 @@
         inbound = plain(settings.listen.inbound, "Inbound")
         self._port = inbound[1]
         self.table = Table()
-        self.gate = Gate(settings.zone, settings.feedback, settings.bounds.drain)
-        self._gates = Pool(loop, self._budget, CONNECT_S, IDLE_S, judge=judge, settle=0)
+        self.gate = Gate(settings.zone, settings.feedback, settings.bounds.drain, secrets.token_hex(4))
+        self._gates = Pool(loop, self._budget, CONNECT_S, IDLE_S, judge=judge, settle=0, silent_ms=SILENT_MS)
         self._own = Pool(loop, self._budget, CONNECT_S, IDLE_S, judge=own_judge)
         self.following = Following(
             settings.ip,
@@ -71,7 +75,18 @@
             self._changed,
             clock.now,
         )
-        self.way = WayOut(loop, clock, self._budget, self.table, settings.plant, self._address_of, rng)
+        me = settings.ip, settings.internal_ports[0]
+        self.watcher = Watcher(me, clock.now, self.following.ask, self._standing)
+        self.way = WayOut(
+            loop,
+            clock,
+            self._budget,
+            self.table,
+            settings.plant,
+            self._address_of,
+            rng,
+            (settings.bounds.retry_ratio, settings.bounds.retry_slack),
+        )
         self.entry = Entry(
             loop,
             clock,
@@ -123,6 +138,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self._stop)
         self._loop.add_signal_handler(signal.SIGHUP, self._seeds)
+        await self.watcher.start()
         self.following.start()
         for server in (self._clients, self._gate_door, *self._others):
             server.start()
@@ -162,6 +178,7 @@
             return
         log.info("pilot: left, with %d requests held", held)
         self.following.close()
+        self.watcher.close()
         if not self._left.done():
             self._left.set_result(0)
 
@@ -195,7 +212,7 @@
             ):
                 return
             wanted = msgspec.structs.replace(known, state="gone")
-        same = known is not None and (known.id, known.state) == (wanted.id, wanted.state)
+        same = known is not None and _said(known) == _said(wanted)
         if same or self._reporting or not self.following.in_touch:
             return
         self._reporting = True
@@ -212,7 +229,20 @@
             self.gate.adopt(known, self.clock.now())
         self._adopted = True
         self.way.changed(kinds)
-        self._reconcile()
+        if kinds & {"inst", "silent"}:
+            doubted = {machine for machines in self.table.noticed.values() for machine in machines}
+            self.watcher.know(self.table.pilots(), doubted)
+
+    def _standing(self, machine: str, up: bool) -> None:
+        """Wanted: that nothing waits for a machine which does not answer."""
+        self.way.standing(machine, up)
+        if not up:
+            self._gates.break_off(machine)
+
+
+def _said(instance: Instance) -> tuple[str, str, str]:
+    """What of a report is news; the rest goes with it."""
+    return instance.id, instance.state, instance.pilot
 
 
 async def serve(settings: Settings, path: str) -> int:
--- a/brackengate/pilot/table.py
+++ b/brackengate/pilot/table.py
@@ -19,6 +19,7 @@
         self._items: dict[tuple[str, str], Item] = {}
         self.plants: dict[str, Plant] = {}
         self.instances: dict[str, Instance] = {}  # by machine
+        self.noticed: dict[str, tuple[str, ...]] = {}  # by watcher, the machines that it does not hear
         self._routes: dict[str, Route] = {}
         self._hosts: dict[str, dict[str, Route]] = {}  # by host and prefix
 
@@ -31,8 +32,9 @@
         if place < self.place:
             return set()
         rows = list(rows)
-        named = {name for kind, name, _ in rows if kind == "inst"}
-        gone: list[Row] = [("inst", name, None) for name in self.instances if name not in named]
+        named = {(kind, name) for kind, name, _ in rows}
+        gone: list[Row] = [("inst", name, None) for name in self.instances if ("inst", name) not in named]
+        gone += [("silent", name, None) for name in self.noticed if ("silent", name) not in named]
         return self.changes(place, [*rows, *gone])
 
     def changes(self, place: int, rows: Iterable[Row]) -> set[str]:
@@ -51,6 +53,12 @@
                     self.instances.pop(name, None)
                 else:
                     self.instances[name] = msgspec.convert(value, Instance)
+            elif kind == "silent":
+                changed.add(kind)
+                if value:
+                    self.noticed[name] = tuple(value)
+                else:
+                    self.noticed.pop(name, None)
         if "route" in changed:
             self._hosts = {}
             for one in self._routes.values():
@@ -75,6 +83,10 @@
             pass
         return True
 
+    def pilots(self) -> list[str]:
+        """The machines whose pilot has an upstream beside it."""
+        return [machine for machine, instance in self.instances.items() if instance.state != "gone"]
+
     def routes(self) -> Iterable[Route]:
         return self._routes.values()
 
--- a/brackengate/pilot/way.py
+++ b/brackengate/pilot/way.py
@@ -24,13 +24,16 @@
     Request,
     RequestClass,
     Settings,
+    Standing,
 )
 from brackengate.net.http import CallerConnection
 from brackengate.net.node import OVERDUE, REFUSED, Clock, Message, Node, Reply
 from brackengate.net.sockets import Address, SocketBudget
 from brackengate.net.upstream import Pool, Result
+from brackengate.pilot.budget import ration
 from brackengate.pilot.hop import CALLER, DEADLINE, HOP, KEY, Said, Step, forwarded, hop_of, passed_on
 from brackengate.pilot.table import Table, choose, host_of
+from brackengate.policy.state import MOST_TRIES
 from brackengate.signals.door import MOST_BODY
 from brackengate.signals.items import Route
 from brackengate.signals.words import Instance
@@ -38,6 +41,7 @@
 log = logging.getLogger("brackengate.way")
 
 CONNECT_S = 0.25
+SILENT_MS = 500  # a machine that takes no bytes for so long is given up: a cut says nothing
 IDLE_S = 60.0  # of connections to other pilots, which keep theirs as long
 COLD_TIME = 3_000_000
 CONFLICT = 409
@@ -113,14 +117,15 @@
     ) -> None:
         self.name, self._clock = name, clock
         self.pool = Pool(
-            loop, budget, CONNECT_S, IDLE_S, judge=judge, settle=0
+            loop, budget, CONNECT_S, IDLE_S, judge=judge, settle=0, silent_ms=SILENT_MS
         )  # a node's list is its pool's
         settings = Settings(
             classes=(),
             tier=TIER,
             cold_share=0.4,
             cold_time=COLD_TIME,
-            max_attempts=3,
+            max_attempts=MOST_TRIES,  # of any kind; a route says how many may reach an upstream
+            retry_start=0.0,
             holds=False,
             free_unsent=True,
             one_round=True,
@@ -130,6 +135,7 @@
         self.module = Balancer(settings, seed)
         self.node = Node(loop, clock, settings, self.module, self.pool, MeshWords())
         self._started: dict[str, int] = {}  # when an upstream became known here, less what it had been up
+        self._pilots: dict[str, str] = {}  # by upstream, the life of the pilot beside it
 
     def listed(self, rows: list[tuple[str, Instance, Address]]) -> None:
         now = self._clock.now()
@@ -151,10 +157,21 @@
             )
             said.append((row, address))
         self.node.listed(ListKind.FULL, said)
+        before, self._pilots = self._pilots, {instance.id: instance.pilot for _, instance, _ in rows}
+        for id_, life in self._pilots.items():
+            if before.get(id_, life) != life:  # a new process: what had failed was the one before it
+                self.node.told(Standing(id_, True))
+
+    def standing(self, address: Address, up: bool) -> None:
+        """What its watchers say of a machine.  What waits for one that is silent is let go at once."""
+        for id_ in [id_ for id_, at in self.pool.wanted.items() if at == address]:
+            self.node.told(Standing(id_, up))
+        if not up:
+            self.pool.break_off(address[0])
 
     def classes(self, classes: dict[str, RequestClass]) -> None:
         self.node.classes = classes
-        self.module.handle(self._clock.now(), Classes(tuple(classes.values())))
+        self.node.told(Classes(tuple(classes.values())))
 
 
 class WayOut:
@@ -171,8 +188,11 @@
         plant: str,
         address_of: Callable[[str], Address],
         rng: random.Random,
+        budget_of_tries: tuple[float, float],
     ) -> None:
-        """`plant`: the service beside this pilot.  `address_of`: where the pilot of a machine is reached."""
+        """`plant`: the service beside this pilot.  `address_of`: where the pilot of a machine is reached.
+        `budget_of_tries`: the ratio and the slack that all pilots share."""
+        self._tries = budget_of_tries
         self._loop, self._clock, self._budget, self._table = loop, clock, budget, table
         self._plant, self._address_of, self._rng = plant.encode(), address_of, rng
         self.services: dict[str, Service] = {}
@@ -199,6 +219,11 @@
                 rows.setdefault(instance.plant, []).append((machine, instance, self._address_of(machine)))
         for name, service in self.services.items():
             service.listed(rows.get(name, []))
+            service.node.told(ration(*self._tries, len(table.pilots())))
+
+    def standing(self, machine: str, up: bool) -> None:
+        for service in self.services.values():
+            service.standing(self._address_of(machine), up)
 
     # --- requests
 
--- a/brackengate/policy/arrivals.py
+++ b/brackengate/policy/arrivals.py
@@ -10,8 +10,6 @@
     AIM_MARGIN,
     MOST_TRIES,
     OPEN_WAIT,
-    RETRY_BURST,
-    RETRY_SHARE,
     SHARE_BURST,
     USUAL_BAND,
     USUAL_OF,
@@ -48,7 +46,7 @@
         if not call.whole:
             call.answer_by = call.aim_by = self.now + OPEN_WAIT
         self.calls[call.id] = call
-        self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
+        self.retries = min(self.retry_burst, self.retries + self.retry_share)
         if self.now >= answer_by or self._hopeless(call, 0.0):
             self._end_unserved(call)
         else:
--- a/brackengate/policy/failures.py
+++ b/brackengate/policy/failures.py
@@ -23,6 +23,16 @@
         self._timer(rest, "return", up.id)
         self._order(up)
 
+    def _on_standing(self, event: api.Standing) -> None:
+        """Others' word on it: as many failures as make it rest, or none of those that it had."""
+        up = self.upstreams.get(event.upstream)
+        if up is None:
+            return
+        if not event.up:
+            return self._failed(up, MAX_FAILS)
+        up.fails, up.demoted, up.rest_until = 0, False, self.now
+        self._order(up)
+
     def _release(self, upstream: str, up: Upstream | None) -> None:
         """Rule 5: close idle connections to a leaving upstream, on the notice and at each later outcome."""
         if self.settings.release_within > 0 and (up is None or not up.serving):
--- a/brackengate/policy/order.py
+++ b/brackengate/policy/order.py
@@ -6,7 +6,7 @@
 
 from brackengate import interface as api
 from brackengate.policy.cold import Cold
-from brackengate.policy.state import NEVER_RAN, SQUEEZED, WARM_ENOUGH, Attempt, Call, Upstream
+from brackengate.policy.state import NEVER_RAN, SQUEEZED, UNSENT, WARM_ENOUGH, Attempt, Call, Upstream
 
 
 class Order(Cold):
@@ -76,7 +76,7 @@
         """
         if not self.settings.free_unsent:
             return False
-        away = [a.upstream.id for a in call.attempts if a.outcome is api.Outcome.NOT_SENT]
+        away = [a.upstream.id for a in call.attempts if a.outcome in UNSENT]
         return up.id in away and any(
             other.serving and other.id not in away and self._harmless(call, other)
             for other in self.upstreams.values()
--- a/brackengate/policy/retries.py
+++ b/brackengate/policy/retries.py
@@ -4,13 +4,13 @@
 
 from brackengate import interface as api
 from brackengate.policy.overload import Overload
-from brackengate.policy.state import MOST_TRIES, Attempt, Call
+from brackengate.policy.state import MOST_TRIES, UNSENT, Attempt, Call
 
 
 class Retries(Overload):
     def _retry(self, call: Call, ended: Attempt) -> bool:
         """Whether it may be tried once more; that comes off the ration unless unsent ones are free."""
-        free = self.settings.free_unsent and ended.outcome is api.Outcome.NOT_SENT
+        free = self.settings.free_unsent and ended.outcome in UNSENT
         if self.settings.one_round and (self._all_turned_away(call) or self._hopeless(call, 0.0)):
             return False
         if free:
@@ -21,9 +21,13 @@
         self.retries -= 0 if free else 1
         return True
 
+    def _on_ration(self, event: api.Ration) -> None:
+        self.retry_share, self.retry_burst = event.share, event.burst
+        self.retries = min(self.retries, self.retry_burst)
+
     def _all_turned_away(self, call: Call) -> bool:
         """Guards against asking a full fleet again and again: it is full for the next one too."""
-        away = {a.upstream.id for a in call.attempts if a.outcome is api.Outcome.NOT_SENT}
+        away = {a.upstream.id for a in call.attempts if a.outcome in UNSENT}
         return bool(away) and all(up.id in away for up in self.upstreams.values() if up.serving)
 
     def _end_unserved(self, call: Call) -> None:
--- a/brackengate/policy/state.py
+++ b/brackengate/policy/state.py
@@ -12,8 +12,6 @@
 ABRUPT = 0.2  # of the mean answer time: an error this fast is a failure
 REST_CONNECTS = 20  # a rest lasts this many connect time-outs: a try at a dead upstream then costs little
 AIM_MARGIN = 0.01  # share of the aim kept for the way back to the client
-RETRY_SHARE = 0.2  # retries a call earns: a storm adds at most this much to the load
-RETRY_BURST = 5.0  # retries that may be saved up
 MOST_TRIES = 8  # attempts of any kind, where those that ended unsent are free
 PROBE_SPEND = 0.016  # the most one pick may spend on probes, as a share of a request's worth
 PROBE_MOST = 8  # probes a pick sends before it settles for the least loaded seen
@@ -39,6 +37,7 @@
 
 NEVER_RAN = (api.Outcome.REJECTED, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
 UNREACHED = (api.Outcome.CONNECT_FAILED, api.Outcome.RESET)
+UNSENT = (api.Outcome.NOT_SENT, api.Outcome.CONNECT_FAILED)  # nothing of it has come to an upstream
 
 
 @dataclass(slots=True, eq=False)
@@ -120,7 +119,8 @@
         affordable = int(PROBE_SPEND / max(settings.probe_price, PROBE_SPEND / PROBE_MOST))
         self.probe_most = affordable if settings.probes and affordable > 1 else 0  # one compares nothing
         self._use(settings.classes)
-        self.retries, self.unconnected, self.silent, self.closing = RETRY_BURST, 0.0, 0.0, False
+        self.retry_share, self.retry_burst = settings.retry_share, settings.retry_burst
+        self.retries, self.unconnected, self.silent, self.closing = settings.retry_start, 0.0, 0.0, False
         self.best_time = self.queue_time = 0.0
         self.uncut = settings.tier == 0 or not settings.passes_deadline  # deadlines are the client's
         self.idle: Upstream | None = None  # the last to answer, if few waited there
--- a/brackengate/signals/words.py
+++ b/brackengate/signals/words.py
@@ -11,7 +11,7 @@
 import msgspec
 
 Row = tuple[str, str, Any]  # kind, name, value; None as a value: the row is gone
-PUBLIC = frozenset(("route", "plant", "limits", "inst"))  # kinds of rows that pilots follow
+PUBLIC = frozenset(("route", "plant", "limits", "inst", "silent"))  # kinds of rows that pilots follow
 ITEMS = frozenset(("route", "plant", "limits"))  # of these, the operator's
 
 
@@ -92,7 +92,14 @@
     value: Any
 
 
-Ask = Amend | Read | Claim | Unclaim | Report
+class Noticed(msgspec.Struct, tag_field="t", tag="noticed", frozen=True):
+    """The machines that a pilot watches and does not hear."""
+
+    watcher: str
+    silent: tuple[str, ...]
+
+
+Ask = Amend | Read | Claim | Unclaim | Report | Noticed
 
 
 # --- among lighthouses
@@ -277,3 +284,4 @@
     state: str  # ready, draining or gone
     capacity: int = 1
     warmup: int = 0  # microseconds that it was still slow for, when this was said
+    pilot: str = ""  # the life of the pilot beside it
