Operate a running mesh: brackengate mesh status, config, drain, replace, explain, backup

Need: a mesh could be run and not operated: no look at its members, no way to tell what a change would do, to take a member out in order, or to see what became of a request.

Weighed: a listener for operators on each pilot (one more port, more to keep apart from clients) against a relay by the lighthouse that it follows: the relay, as the link is there. Traces in the log at DEBUG (costs a line a request all the time) against tuples in bounded queues that are written out when asked. An observer of the way out's nodes collects them, so node and module stay as they are; a subclass of Request that carries its trace was tried and is turned away by the module, which goes by the exact type.

Change: package bridge (pure: changes, archive, figures, hops; ask is the carrier, commands the click group); pilot/wake.py. Also python -m brackengate.bridge, for machines with the mesh's libraries only. apply waits until each pilot that follows has said that it has the place.

Measured: tests/bridge passes; one test runs every command as a process against a mesh on loopback.

--- /dev/null
+++ b/brackengate/bridge/changes.py
@@ -0,0 +1,111 @@
+"""What a call of the operator would do, item by item, before it is sent.  Pure.
+
+The lighthouses' own checker says what is sound and what has effect (`signals/items.py`); here it is only
+asked about each item on its own too, so that a call with several faults shows them all.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Any
+
+import msgspec
+
+from brackengate.signals.items import Invalid, Item, Name, effect, read_call
+from brackengate.signals.words import HeldItem
+
+SET, DROPPED, NO_EFFECT, INVALID = "set", "dropped", "no effect", "invalid"
+
+
+class Change(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What becomes of one item.  `kind` is `call` where the items do not go together."""
+
+    kind: str
+    name: str
+    what: str
+    version: int = 0
+    why: str = ""
+
+    @property
+    def text(self) -> str:
+        version = f" r{self.version}" if self.version else ""
+        name = f" {self.name}" if self.name else ""
+        return f"{self.what:9}  {self.kind}{name}{version}{': ' if self.why else ''}{self.why}"
+
+
+def as_call(data: bytes) -> bytes:
+    """A file's text as a call: what `config show` prints is one that applies all of it."""
+    try:
+        found = msgspec.json.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return data  # the checker says what is wrong with it
+    layout = isinstance(found, dict) and not found.keys() & {"Apply", "Remove"}
+    if layout and found.keys() & {"Plants", "Hosts", "Limits"}:
+        return msgspec.json.encode({"Apply": found})
+    return data
+
+
+def items_of(held: Iterable[HeldItem]) -> dict[Name, Item]:
+    return {(one.kind, one.name): Item(one.version, one.host, one.body) for one in held}
+
+
+def compare(call: bytes, held: Mapping[Name, Item]) -> list[Change]:
+    """Every item of the call, in its order; faults of the whole call come last."""
+    try:
+        read = read_call(call)
+    except Invalid as error:
+        faults = list(_faults(call))
+        told = any(one.why == str(error) for one in faults)
+        return faults if told else [*faults, Change("call", "", INVALID, why=str(error))]
+    out: list[Change] = []
+    try:
+        news = effect(read, held)
+    except Invalid as error:
+        news = {name: item for name, item in read.items() if _newer(item, held.get(name))}
+        out.append(Change("call", "", INVALID, why=str(error)))
+    found = []
+    for (kind, name), item in read.items():
+        before = held.get((kind, name))
+        if (kind, name) in news:
+            what = SET if item.body is not None else DROPPED
+            why = "new" if before is None else f"r{before.version} is held"
+        else:
+            assert before is not None
+            what, why = NO_EFFECT, f"not newer than r{before.version}, which is held"
+            if before.body is None:
+                why += " as dropped"
+        found.append(Change(kind, name, what, item.version, why))
+    return found + out
+
+
+def _newer(item: Item, before: Item | None) -> bool:
+    return before is None or item.version > before.version
+
+
+def _faults(call: bytes) -> Iterator[Change]:
+    """Each item of an invalid call that is not sound on its own."""
+    try:
+        found: Any = msgspec.json.decode(call)
+        apply = found.get("Apply") or {}
+        singles = [("plant", raw, {"Plants": [raw]}) for raw in apply.get("Plants") or ()]
+        singles += [
+            ("route", raw, {"Hosts": [{"Host": host.get("Host"), "Paths": [raw]}]})
+            for host in apply.get("Hosts") or ()
+            for raw in host.get("Paths") or ()
+        ]
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError, AttributeError, TypeError):
+        return  # not even laid out as a call
+    for kind, raw, alone in singles:
+        try:
+            read_call(msgspec.json.encode({"Apply": alone}))
+        except Invalid as why:
+            name = raw.get("Name") if isinstance(raw, dict) else None
+            yield Change(kind, str(name or "?"), INVALID, why=str(why))
+
+
+def sound(changes: Iterable[Change]) -> bool:
+    return all(one.what != INVALID for one in changes)
+
+
+def effective(changes: Iterable[Change]) -> list[Change]:
+    return [one for one in changes if one.what in (SET, DROPPED)]
--- /dev/null
+++ b/brackengate/bridge/hops.py
@@ -0,0 +1,43 @@
+"""What pilots tell of one attempt, in the order in which it happened, as lines.  Pure."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterable
+from typing import Any
+
+from brackengate.signals.words import Follows
+
+Hop = dict[str, Any]
+
+
+def in_order(pilots: Iterable[Follows]) -> list[tuple[str, Hop]]:
+    """By the pilots' own clocks, which may differ between machines; a way out before its gates."""
+    found = [(one.addr, hop) for one in pilots for hop in one.wake]
+    return sorted(found, key=lambda one: (one[1]["at"], one[1]["hop"] == "gate"))
+
+
+def text(pilot: str, hop: Hop) -> str:
+    at = hop["at"]
+    clock = time.strftime("%H:%M:%S", time.gmtime(at // 1_000_000)) + f".{at // 1000 % 1000:03d}"
+    if hop["hop"] == "gate":
+        key = f", key {hop['key']}" if hop["key"] else ""
+        why = f" ({hop['why']})" if hop["why"] else ""
+        where = f"route {hop['route']}{key}, for {hop['upstream']}"
+        return f"{clock}  gate {pilot}  {where}: {hop['said']}{why} after {hop['took_ms']:.1f} ms"
+    if not hop["route"]:
+        return f"{clock}  out  {pilot}  answered {hop['status']}: {hop['why']}"
+    lines = [f"{clock}  out  {pilot}  route {hop['route']} to {hop['service']}, {hop['limit_ms']:.0f} ms"]
+    for step in hop["steps"]:
+        took = f", {step['took_ms']:.1f} ms" if step["outcome"] != "still out" else ""
+        lines.append(f"    +{step['after_ms']:.1f} ms  sent to {step['upstream']}: {step['outcome']}{took}")
+    status = hop["status"]
+    if status is None:
+        lines.append("    no answer yet")
+    elif status == 0:
+        lines.append(f"    its caller left after {hop['took_ms']:.1f} ms")
+    elif status == 200:
+        lines.append(f"    an upstream's answer went back after {hop['took_ms']:.1f} ms")
+    else:
+        lines.append(f"    answered {status} by the pilot after {hop['took_ms']:.1f} ms")
+    return "\n".join(lines)
--- a/brackengate/cli.py
+++ b/brackengate/cli.py
@@ -18,6 +18,7 @@
 
 import click
 
+from brackengate.bridge.commands import mesh
 from brackengate.cli_cells import cells
 from brackengate.cli_common import (
     BAD,
@@ -72,6 +73,7 @@
 main.add_command(lab)
 main.add_command(pilot)
 main.add_command(lighthouse)
+main.add_command(mesh)
 main.add_command(plan)
 
 
--- a/brackengate/pilot/entry.py
+++ b/brackengate/pilot/entry.py
@@ -38,6 +38,7 @@
     step_of,
 )
 from brackengate.pilot.load import Load, Ticket
+from brackengate.pilot.wake import ID, Wake
 from brackengate.signals.door import MOST_BODY
 from brackengate.signals.words import Ask, Claim, Unclaim
 
@@ -111,12 +112,14 @@
         ask: Callable[[Ask, Callable[[Any], None], float], None],
         peers: Pool,
         address_of: Callable[[str], Address],
+        wake: Wake | None = None,
     ) -> None:
         """`pool`: to the upstream alone.  `peers`: to other pilots.  `me`: this machine's name among
         gates."""
         self._loop, self._clock, self._pool, self._gate = loop, clock, pool, gate
         self._me, self._application, self._ask = me, application, ask
         self._peers, self._address_of = peers, address_of
+        self._wake = wake or Wake()
         self.load = Load()
         self._operations = Operations(window, KEPT_BYTES)
         self._life, self._count = (
@@ -265,7 +268,7 @@
         log.debug("gate: join of %r: %s", operation.key, operation.state.name)
         state, now = operation.state, self._clock.now()
         if state is State.DONE and isinstance(operation.answer, Reply):
-            self._answer(visit, _again(operation.answer, visit.arrival))
+            self._answer(visit, _again(operation.answer, visit.arrival), why="the first try's answer")
         elif state in (State.CLAIMING, State.RUNNING):
             operation.waiters.append(visit)
         elif state is State.UNRUN:
@@ -318,7 +321,7 @@
             answer = result.answer
             said = hop_of(answer.fields) if answer is not None else None
             if answer is not None and said is Said.RAN:
-                self._answer(visit, passed_on(answer, drop=()))
+                self._answer(visit, passed_on(answer, drop=()), why=f"by the gate {operation.holder}")
             elif said in FREE:
                 operation.state = State.UNCLAIMED
                 self._say(visit, Said.AWAY)
@@ -334,17 +337,21 @@
 
     # --- answers
 
-    def _answer(self, visit: Visit, reply: Reply) -> None:
+    def _answer(self, visit: Visit, reply: Reply, said: Said = Said.RAN, why: str = "") -> None:
         if visit.over:
             return
         self._end(visit)
+        fields, at, step = visit.arrival.fields, visit.arrival.at, visit.step
+        key = fields.get(KEY.lower(), b"") if step.keyed else b""
+        took = self._clock.now() - at
+        self._wake.visited(fields.get(ID, b""), at, took, step.route, step.instance, key, said, why)
         visit.connection.answer(reply)
 
     def _say(self, visit: Visit, said: Said, why: str = "") -> None:
         if not visit.over:
             status = 409 if said is Said.BUSY else 503
             log.debug("gate: %s: %s %s", visit.step.instance, said.name, why)
-            self._answer(visit, Reply(status, extra=b"%s: %s\r\n" % (HOP, said.value)))
+            self._answer(visit, Reply(status, extra=b"%s: %s\r\n" % (HOP, said.value)), said, why)
 
     def _late(self, visit: Visit) -> None:
         if visit.over:
--- a/brackengate/pilot/follow.py
+++ b/brackengate/pilot/follow.py
@@ -17,7 +17,20 @@
 from brackengate.net.sockets import parse_address
 from brackengate.pilot.table import Table
 from brackengate.signals.lines import Dialer
-from brackengate.signals.words import Ask, Asked, Away, Changes, Core, Done, Follow, Hello, Line, Snapshot
+from brackengate.signals.words import (
+    Ask,
+    Asked,
+    Away,
+    Changes,
+    Core,
+    Done,
+    Follow,
+    Hello,
+    Line,
+    Look,
+    Seen,
+    Snapshot,
+)
 
 log = logging.getLogger("brackengate.follow")
 
@@ -62,7 +75,7 @@
     def _opened(self, dialer: Dialer) -> None:
         self.heard = self._follow.now()
         dialer.send(Hello(self._follow.me, pilot=True))
-        dialer.send(Follow(self._follow.table.place))
+        dialer.send(Follow(self._follow.table.place, tells=True))
 
     def _line(self, word: Line) -> None:
         self.heard = self._follow.now()
@@ -82,9 +95,11 @@
         table: Table,
         changed: Callable[[set[str]], None],
         now: Callable[[], int],
+        wake: Callable[[str], tuple[dict[str, Any], ...]],
     ) -> None:
         """`seeds`: asked again whenever nobody else is known who answers.  `changed`: told what kinds of rows
-        have changed, once the table has them."""
+        have changed, once the table has them.  `wake`: what was decided of an attempt, for an operator."""
+        self._wake = wake
         self.me, self.zone, self.port, self.table, self.now = me, zone, port, table, now
         self._seeds, self._changed = seeds, changed
         self._members: dict[str, str] = {}
@@ -175,6 +190,9 @@
     def line(self, link: Link, word: Line) -> None:
         if isinstance(word, Away):
             self.lost(link, "it is out of touch")
+        elif isinstance(word, Look):
+            seen = self._wake(word.attempt) if word.attempt else ()
+            link.send(Seen(word.id, self.table.place, seen))
         elif isinstance(word, Core):
             self._members = dict(word.members)
         elif isinstance(word, Done):
--- a/brackengate/pilot/role.py
+++ b/brackengate/pilot/role.py
@@ -27,6 +27,7 @@
 from brackengate.pilot.follow import Following
 from brackengate.pilot.gate import Beat, Gate
 from brackengate.pilot.table import Table
+from brackengate.pilot.wake import Wake
 from brackengate.pilot.way import WayOut, judge
 from brackengate.signals import settings as files
 from brackengate.signals.door import Readiness, listener
@@ -59,6 +60,7 @@
         inbound = plain(settings.listen.inbound, "Inbound")
         self._port = inbound[1]
         self.table = Table()
+        wake = Wake()
         self.gate = Gate(settings.zone, settings.feedback, settings.bounds.drain)
         self._gates = Pool(loop, self._budget, CONNECT_S, IDLE_S, judge=judge, settle=0)
         self._own = Pool(loop, self._budget, CONNECT_S, IDLE_S, judge=own_judge)
@@ -70,8 +72,9 @@
             self.table,
             self._changed,
             clock.now,
+            wake.about,
         )
-        self.way = WayOut(loop, clock, self._budget, self.table, settings.plant, self._address_of, rng)
+        self.way = WayOut(loop, clock, self._budget, self.table, settings.plant, self._address_of, rng, wake)
         self.entry = Entry(
             loop,
             clock,
@@ -83,6 +86,7 @@
             self.following.ask,
             self._gates,
             self._address_of,
+            wake,
         )
         listen = settings.listen
         self._clients = listener(
--- a/brackengate/pilot/way.py
+++ b/brackengate/pilot/way.py
@@ -31,6 +31,7 @@
 from brackengate.net.upstream import Pool, Result
 from brackengate.pilot.hop import CALLER, DEADLINE, HOP, KEY, Said, Step, forwarded, hop_of, passed_on
 from brackengate.pilot.table import Table, choose, host_of
+from brackengate.pilot.wake import ID, Wake
 from brackengate.signals.door import MOST_BODY
 from brackengate.signals.items import Route
 from brackengate.signals.words import Instance
@@ -171,8 +172,10 @@
         plant: str,
         address_of: Callable[[str], Address],
         rng: random.Random,
+        wake: Wake,
     ) -> None:
         """`plant`: the service beside this pilot.  `address_of`: where the pilot of a machine is reached."""
+        self._wake = wake
         self._loop, self._clock, self._budget, self._table = loop, clock, budget, table
         self._plant, self._address_of, self._rng = plant.encode(), address_of, rng
         self.services: dict[str, Service] = {}
@@ -191,6 +194,7 @@
                 if name not in self.services:
                     seed = self._rng.getrandbits(64)
                     self.services[name] = Service(name, self._loop, self._clock, self._budget, seed)
+                    self.services[name].node.observer = self._wake
             for name, service in self.services.items():
                 service.classes(classes.get(name, {}))
         rows: dict[str, list[tuple[str, Instance, Address]]] = {}
@@ -203,18 +207,22 @@
     # --- requests
 
     def begin(self, arrival: Arrival, connection: CallerConnection) -> None:
+        attempt = arrival.fields.get(ID, b"")
         if not self._table.known:
+            self._wake.turned_away(attempt, arrival.at, 503, "no configuration yet")
             raise Bad(503, "no configuration yet", b"Retry-After: 0.3\r\n")
         host = host_of(arrival.fields.get(b"host", b""))
         path = arrival.target.partition(b"?")[0].decode("latin-1")
         route = self._table.find(host, path)
         if route is None:
+            self._wake.turned_away(attempt, arrival.at, 404, "no route")
             raise Bad(404, "no route")
         service = self.services[self._choose(route, arrival)]
         left = arrival.fields.get(DEADLINE.lower(), b"")
         limit = min(int(left) * 1000, route.cutoff) if left.isdigit() and len(left) < 10 else route.cutoff
         self._count += 1
         request = Request(str(self._count), route.name, arrival.at + max(limit, 1000))
+        self._wake.begins(request.request, attempt, arrival.at, route.name, service.name, limit)
         keyed = route.kind == "keyed" and KEY.lower() in arrival.fields
         head = forwarded(arrival, drop=(CALLER, DEADLINE, HOP)) + b"%s: %s\r\n" % (CALLER, self._plant)
         message = Outgoing(head, arrival.body, stream=arrival.stream, keyed=keyed, route_name=route.name)
--- /dev/null
+++ b/tests/bridge/test_commands.py
@@ -0,0 +1,122 @@
+"""The operating commands against a real mesh on loopback: each as a process, as an operator runs it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+from pathlib import Path
+from typing import Any
+
+from standins.mesh import ROOT, Mesh
+
+FIRST_PORT = 22400 + (os.getpid() % 200) * 16  # each worker has its own
+ROUTE = {"PathPrefix": "/new/", "SignalKind": "idempotent", "Cutoff": "2s", "Plant": "p"}
+
+
+async def command(at: list[str], *args: str) -> tuple[int, list[str], str]:
+    """Exit code, lines of output, and what was said of errors."""
+    asked = [part for one in at for part in ("--at", one)]
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "brackengate.bridge", *args, *asked),
+        cwd=ROOT,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
+    out, err = await process.communicate()
+    assert process.returncode is not None
+    return process.returncode, out.decode().splitlines(), err.decode()
+
+
+def test_a_mesh_is_looked_at_changed_drained_and_backed_up(tmp_path: Path) -> None:
+    async def play() -> None:
+        mesh = Mesh(tmp_path, pilots=3, first_port=FIRST_PORT)
+        a, b, c = (f"{one.ip}:{mesh.ports.internal}" for one in mesh.core)
+        nobody = f"127.10.9.9:{mesh.ports.internal}"
+
+        async def rows(*at: str) -> dict[str, list[dict[str, Any]]]:
+            _, lines, _ = await command(list(at), "status", "--json")
+            out: dict[str, list[dict[str, Any]]] = {}
+            for line in lines:
+                row = json.loads(line)
+                out.setdefault(row["is"], []).append(row)
+            return out
+
+        try:
+            await mesh.start()
+            # Status: the second address is tried, and tells of all members and pilots.
+            found = await rows(nobody, b)
+            while len(found.get("pilot", ())) < 3 or len(found["view"][0]["chain"]) < 3:
+                found = await rows(nobody, b)  # a machine under load may lose a seat, and takes it again
+            assert [row["chain"] for row in found["member"]][:3] == ["head", "2", "tail"]
+            assert found["service"] == [
+                {"is": "service", "service": "p", "ready": 3, "draining": 0, "away": 0, "gone": 0}
+            ]
+            code, _, err = await command([nobody], "status")
+            assert (code, err.startswith(f"brackengate: step connect, lighthouse {nobody}: ")) == (1, True)
+
+            # Explain: the way out and the gate of one request, from two machines' pilots.
+            assert (await mesh.request(mesh.sides[0], "/bid/x", key="k", attempt="id-1"))[0] == 200
+            _, lines, _ = await command([a], "explain", "id-1", "--json")
+            hops = [json.loads(line) for line in lines]
+            out, gate = hops[0], hops[-1]
+            assert [(hop["hop"], hop["route"]) for hop in (out, gate)] == [("out", "bid"), ("gate", "bid")]
+            assert (out["pilot"], out["status"], out["service"]) == (mesh.sides[0].ip, 200, "p")
+            assert (gate["said"], gate["key"]) == ("ran", "k")
+            assert gate["upstream"] == out["steps"][-1]["upstream"]
+            assert (await command([a], "explain", "id-2"))[0] == 4
+
+            # A change: told item by item, and once apply ends, every pilot handles by it.
+            saved, file = tmp_path / "saved.json", tmp_path / "next.json"
+            assert (await command([c], "backup", str(saved)))[0] == 0
+            paths = [{**ROUTE, "Name": "new", "Revision": "r5"}]
+            change = {"Hosts": [{"Host": "h.example", "Paths": paths}]}
+            file.write_text(
+                json.dumps({"Apply": change, "Remove": {"Routes": [{"Name": "read", "Revision": "r1"}]}})
+            )
+            code, told, _ = await command([b], "config", "diff", str(file))
+            assert (code, [line.split()[0] for line in told]) == (0, ["set", "no"])
+            code, lines, err = await command([b], "config", "apply", str(file), "--wait", "30")
+            assert (code, lines[:2], err) == (0, told, "")
+            assert lines[-1].startswith("all 3 pilots that follow have place ")
+            for side in mesh.sides:
+                assert (await mesh.request(side, "/new/x"))[0] == 200
+            paths[0]["Plant"] = "nobody"
+            file.write_text(json.dumps({"Apply": change}))
+            code, _, err = await command([b], "config", "apply", str(file))
+            assert (code, err) == (2, "brackengate: step check: nothing was sent\n")
+            _, lines, _ = await command([a], "config", "show")
+            routes = json.loads("\n".join(lines))["Hosts"][0]["Paths"]
+            assert [one["Name"] for one in routes] == ["bid", "new", "read"]
+
+            # A backup brings back what is missing, and nothing that is older.
+            code, lines, _ = await command([a], "restore", str(saved))
+            assert (code, "agreed: 0 of 3 items have effect" in lines) == (0, True)
+            saved.write_bytes(saved.read_bytes().replace(b'"r1"', b'"r7"', 1))
+            code, _, err = await command([a], "restore", str(saved))
+            assert (code, "it is damaged: its checksum" in err) == (2, True)
+
+            # The head gives up its seat, works on as a process, and comes back when told.
+            code, _, err = await command([b], "replace", mesh.core[0].ip)
+            assert (
+                code,
+                err.startswith("brackengate: step leave: 2 members would be left and no other"),
+            ) == (
+                3,
+                True,
+            )
+            code, lines, err = await command([b], "drain", mesh.core[0].ip)
+            assert (code, mesh.core[0].ip in lines[-1]) == (0, False), err
+            left, state = f"{mesh.core[0].ip}:{mesh.ports.control}", ""
+            while state != "left":
+                found = await rows(a)
+                state = next(row["state"] for row in found["member"] if row["member"] == left)
+            assert found["view"][0]["spare"] == 0
+            assert (await command([b], "drain", mesh.core[1].ip))[0] == 3
+            assert (await mesh.request(mesh.sides[1], "/bid/x", key="k2", attempt="id-3"))[0] == 200
+            assert (await command([a], "readmit", mesh.core[0].ip))[0] == 0
+        finally:
+            await mesh.stop()
+
+    asyncio.run(asyncio.wait_for(play(), 90))
