--- a/benchmarks/mesh.py
+++ b/benchmarks/mesh.py
@@ -2,6 +2,7 @@
 
     python -m benchmarks.mesh                    # 3 lighthouses, 6 pilots
     python -m benchmarks.mesh --pilots 12 --rounds 5
+    python -m benchmarks.mesh --wake             # what a pilot's memory of its requests costs, alone
 
 Processor time for a request on a pilot and for a claim on a lighthouse, memory, the time from an
 acknowledgement to the effect on the last pilot, and the time that a keyed request waits while a killed head
@@ -15,8 +16,12 @@
 import statistics
 import tempfile
 import time
+import tracemalloc
 from pathlib import Path
 
+from brackengate.interface import Outcome, Request
+from brackengate.pilot.hop import Said
+from brackengate.pilot.wake import Wake
 from standins.mesh import Machine, Mesh, call
 
 REQUESTS = 1500
@@ -80,6 +85,30 @@
     return took
 
 
+def remembering(count: int = 200_000) -> None:
+    """One attempt at the way out and one visit at the gate for each request, in one process."""
+
+    def run(wake: Wake, requests: int) -> None:
+        for n in range(requests):
+            request, at = Request(str(n), "route", 0), n * 1_000_000
+            wake.begins(request.request, b"%016x" % n, at, "route", "service", 500_000)
+            wake.attempt_began(request, 0, "i-7f3a91c2", at + 300)
+            wake.attempt_written(request, 0, "i-7f3a91c2")
+            wake.attempt_ended(request, 0, "i-7f3a91c2", Outcome.OK, 9_000)
+            wake.ended(request, 200 if n % 2 else 503, at, at + 9_400)
+            wake.visited(b"%016x" % n, at, 5_000, "route", "i-7f3a91c2", b"", Said.RAN, "")
+
+    begun = time.perf_counter()
+    run(Wake(), count)
+    took = time.perf_counter() - begun
+    tracemalloc.start()
+    wake = Wake()
+    run(wake, 5_000)
+    size = tracemalloc.get_traced_memory()[0]
+    each = took / count * 1e6
+    print(f"remembering a request, out and at the gate: {each:.1f} us; {size / 1024:.0f} KB at most")
+
+
 async def main(pilots: int, rounds: int) -> None:
     with tempfile.TemporaryDirectory() as folder:
         mesh = Mesh(Path(folder), pilots=pilots)
@@ -111,5 +140,9 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--pilots", type=int, default=6)
     parser.add_argument("--rounds", type=int, default=3)
+    parser.add_argument("--wake", action="store_true")
     arguments = parser.parse_args()
-    asyncio.run(main(arguments.pilots, arguments.rounds))
+    if arguments.wake:
+        remembering()
+    else:
+        asyncio.run(main(arguments.pilots, arguments.rounds))
