Count only members that answer among those that may be lost

Cause: with two of three members gone the view still names three, and status said that one more may be lost; the one left was named as mending the view, which it can't without a majority.

Change: spare counts seats that answered with a fit disk; the duty to mend is nobody's without a quorum; apply turns down a file that names no items.

Measured: tests/lighthouse and tests/bridge pass; test_watchroom.py plays a stalled disk and a lost majority.

--- a/brackengate/bridge/commands.py
+++ b/brackengate/bridge/commands.py
@@ -111,17 +111,16 @@
             "pilot": figures.pilots(standings),
             "service": figures.services(standings),
         }
-        unseen = figures.unseen(standings)
+        unseen, spare = figures.unseen(standings), figures.spare(standings)
         if as_json:
             seats = [seat.addr for seat in view.seats]
-            row = {"view": view.epoch, "chain": seats, "needs": view.enough, "spare": figures.spare(view)}
+            row = {"view": view.epoch, "chain": seats, "needs": view.enough, "spare": spare}
             _line("view", {**row, "unseen": unseen})
             for kind, rows in parts.items():
                 for row in rows:
                     _line(kind, row)
         else:
-            spare = figures.spare(view)
-            loss = f"{spare} may be lost" if spare >= 0 else "NO WRITES: too few"
+            loss = f"{spare} may be lost" if spare >= 0 else f"NO WRITES: {-spare} too few"
             click.echo(f"view {view.epoch}: {len(view.seats)} members, a write needs {view.enough}; {loss}")
             for kind, columns in COLUMNS.items():
                 if parts[kind]:
@@ -211,6 +210,9 @@
     from brackengate.bridge.changes import compare, effective, items_of, sound
 
     changes = compare(call, items_of((await bridge.items()).items))
+    if not changes:
+        click.echo("brackengate: step check: the file names no items under Apply or Remove", err=True)
+        return BAD
     _tell(changes, as_json)
     if not sound(changes):
         click.echo("brackengate: step check: nothing was sent", err=True)
@@ -316,8 +318,9 @@
             return INCOMPLETE
         await asyncio.sleep(LOOK_S)
     click.echo(f"view {view.epoch}: {' '.join(seat.addr for seat in view.seats)}")
-    if not seated and figures.spare(view) < view.enough - 1:
-        click.echo(f"brackengate: {figures.spare(view)} more may be lost before writes wait", err=True)
+    spare = figures.spare(standings)
+    if not seated and spare < view.enough - 1:
+        click.echo(f"brackengate: {max(0, spare)} more may be lost before writes wait", err=True)
     return 0
 
 
--- a/brackengate/bridge/figures.py
+++ b/brackengate/bridge/figures.py
@@ -112,11 +112,15 @@
     return sorted(it.addr for one in standings for it in one.pilots if it.place is None or it.place < place)
 
 
-def spare(view: Standing) -> int:
-    """How many more members may be lost while a majority is left to mend the view, and enough disks to write;
-    below 0: so many are missing for a write."""
-    seats = len(view.seats)
-    return min(seats - (seats // 2 + 1), seats - view.enough)
+def spare(standings: Sequence[Standing]) -> int:
+    """How many more members may be lost while a majority is left to mend the view, and enough disks to write.
+
+    Only those who answered and whose disk is fit count as there.  Below 0: so many are missing.
+    """
+    view = newest(standings)
+    fit = {one.addr for one in standings if one.fit}
+    there = sum(1 for seat in view.seats if seat.addr in fit)
+    return min(there - (len(view.seats) // 2 + 1), there - view.enough)
 
 
 def complete(standings: Sequence[Standing]) -> bool:
--- a/brackengate/lighthouse/view.py
+++ b/brackengate/lighthouse/view.py
@@ -274,8 +274,9 @@
         return kept
 
     def mender(self, now: int) -> str:
-        """Whose turn it is first to mend the view, by what is known here."""
-        return next((seat.addr for seat in self._alive(now)), "")
+        """Whose turn it is first to mend the view, by what is known here; empty where nobody can."""
+        alive = self._alive(now)
+        return alive[0].addr if len(alive) >= self._quorum() else ""
 
     # --- the duty to mend
 
--- a/tests/bridge/test_pieces.py
+++ b/tests/bridge/test_pieces.py
@@ -120,9 +120,13 @@
         self.assertThat(figures.complete([*told, standing("C", 12, "BAC")]), Equals(True))
 
     def test_how_many_may_be_lost(self) -> None:
-        views = ("AB", "ABC", "ABCD", "ABCDE", "A")
-        spare = [figures.spare(standing("A", 1, seats)) for seats in views]
+        spare = [
+            figures.spare([standing(one, 1, seats) for one in seats])
+            for seats in ("AB", "ABC", "ABCD", "ABCDE", "A")
+        ]
         self.assertThat(spare, Equals([0, 1, 1, 2, -1]))
+        unfit = [standing("A", 1), standing("B", 1, fit=False)]  # and C does not answer
+        self.assertThat(figures.spare(unfit), Equals(-1))
 
     def test_a_pilot_that_does_not_say_how_far_it_is_counts_as_late(self) -> None:
         told = [
--- a/tests/lighthouse/test_watchroom.py
+++ b/tests/lighthouse/test_watchroom.py
@@ -1,4 +1,4 @@
-"""A lighthouse's answers about the pilots that follow it."""
+"""A lighthouse's answers about itself, and about the pilots that follow it."""
 
 from __future__ import annotations
 
@@ -7,11 +7,15 @@
 from typing import Any
 
 import pytest
+from timeline import play
 
+from brackengate.bridge import figures
 from brackengate.lighthouse import watchroom
+from brackengate.lighthouse.standing import held, standing
 from brackengate.lighthouse.watchroom import Watchroom
-from brackengate.signals.words import Done, Explain, Follows, Inquire, Look, Seen
+from brackengate.signals.words import Amend, Done, Explain, Follows, Inquire, Look, Seen
 
+PLANT = '{"Apply":{"Plants":[{"Name":"p","Revision":"r%d"}]},"Remove":{"Plants":[%s]}}'
 HOP = {"hop": "out", "at": 1}
 
 
@@ -29,6 +33,64 @@
     return SimpleNamespace(follows=follows, tells=tells, place=7)
 
 
+def told(text: str) -> tuple[int, list[tuple[str, str, str]]]:
+    """What `status` makes of the core at the end: how many may be lost; chain, duties and state of each."""
+    core, _ = play(text)
+    members = [host.member for host in core.hosts.values() if host.member is not None]
+    standings = [standing(member, (), core.now) for member in members]
+    rows = figures.members(standings)
+    found = [(row["chain"], " ".join(row.get("duties", "?")), row["state"]) for row in rows]
+    return figures.spare(standings), found
+
+
+def test_each_member_says_what_it_does_and_what_it_lacks() -> None:
+    assert told(
+        """
+        ms    | A              B              C
+        2000  | claim k1 g1
+        """
+    ) == (1, [("head", "enter prune mend", "serves"), ("2", "", "serves"), ("tail", "agree", "serves")])
+    assert told(
+        """
+        ms    | A              B              C
+        2000  | stall 60000
+        2010  | claim k1 g1
+        """
+    ) == (
+        0,
+        [
+            ("head", "enter prune mend", "serves"),
+            ("tail", "agree", "serves"),
+            ("-", "", "disk unfit, waits for a seat"),
+        ],
+    )
+    spare, rows = told(
+        """
+        ms    | A              B              C
+        2000  |                down           down
+        """
+    )
+    assert (spare, rows[0]) == (-1, ("head", "enter prune", "out of touch, view being changed"))
+    assert [state for _, _, state in rows[1:]] == ["unreached"] * 2
+
+
+def test_dropped_items_are_told_with_their_versions() -> None:
+    core, _ = play(
+        """
+        ms    | A              B              C
+        1500  | in             in             in
+        """
+    )
+    host = next(iter(core.hosts.values()))
+    for version, dropped in ((3, ""), (2, '{"Name":"p","Revision":"r7"}')):
+        host.ask(Amend(PLANT % (version, dropped)), lambda _: None)
+        core.run(core.now + 1_000_000)
+    assert host.member is not None
+    found = held(host.member, core.now)
+    assert [(one.name, one.version, one.body, one.place) for one in found.items] == [("p", 7, None, 2)]
+    assert found.serves
+
+
 def test_pilots_that_are_silent_or_older_hold_nothing_up(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(watchroom, "LOOK_S", 0.0)  # by the time that the loop turns, it is over
 
