--- a/brackengate/bridge/figures.py
+++ b/brackengate/bridge/figures.py
@@ -43,16 +43,16 @@
     seats = [seat.addr for seat in view.seats]
     said = {one.addr: one for one in standings}
     why = dict(lost)
-    out = []
+    out: list[dict[str, Any]] = []
     for addr in (*seats, *sorted(said.keys() - seats), *sorted(why.keys() - said.keys() - set(seats))):
         at = seats.index(addr) if addr in seats else -1
         place = "-" if at < 0 else "head" if at == 0 else "tail" if at == len(seats) - 1 else str(at + 1)
         one = said.get(addr)
         if one is None:
-            heard = sum(n.heard for other in standings for n in other.neighbours if n.addr == addr)
-            out.append(
-                {"member": addr, "chain": place, "state": why.get(addr, "unreached"), "heard_by": heard}
-            )
+            near = [it for other in standings for it in other.neighbours if it.addr == addr]
+            zone = next((it.zone for it in near if it.zone), None)
+            lost_row = {"member": addr, "zone": zone, "chain": place, "state": why.get(addr, "unreached")}
+            out.append({**lost_row, "heard_by": sum(it.heard for it in near)})
             continue
         row = {"member": addr, "zone": one.zone, "view": one.epoch, "chain": place}
         row |= {"stored": one.stored, "agreed": one.agreed, "lag": max(0, agreed - one.stored)}
--- a/tests/bridge/test_pieces.py
+++ b/tests/bridge/test_pieces.py
@@ -15,7 +15,7 @@
 from brackengate.pilot.hop import Said
 from brackengate.pilot.wake import MOST_OPEN, Wake
 from brackengate.signals.items import effect, read_call
-from brackengate.signals.words import Follows, HeldItem, Instance, Items, Seat, Standing
+from brackengate.signals.words import Follows, HeldItem, Instance, Items, Neighbour, Seat, Standing
 
 
 def route(name: str, version: int, prefix: str = "", plant: str = "p") -> dict[str, Any]:
@@ -100,19 +100,19 @@
 class Figures(TestCase):
     def test_members_stand_in_the_chains_order_and_the_lost_are_named(self) -> None:
         told = [
-            standing("A", 9, "BAC"),
+            standing("A", 9, "BAC", neighbours=(Neighbour("C", "zC", True),)),
             standing("B", 12, "BAC", duties=("mend",)),
             standing("D", 3, "BAC", epoch=3, serves=False, leaves=True),
         ]
         rows = figures.members(told, [("C", "no answer")])
         self.assertThat(
-            [(row["member"], row["chain"], row.get("lag"), row["state"]) for row in rows],
+            [(row["member"], row["zone"], row["chain"], row.get("lag"), row["state"]) for row in rows],
             Equals(
                 [
-                    ("B", "head", 0, "serves"),
-                    ("A", "2", 3, "serves"),
-                    ("C", "tail", None, "no answer"),
-                    ("D", "-", 9, "still in view 3, left"),
+                    ("B", "zB", "head", 0, "serves"),
+                    ("A", "zA", "2", 3, "serves"),
+                    ("C", "zC", "tail", None, "no answer"),
+                    ("D", "zD", "-", 9, "still in view 3, left"),
                 ]
             ),
         )
