Let the roles and the operating commands share how they end

Cause: commands.py had mesh.py's three lines of a failed end again.

Measured: tests/bridge, tests/pilot, tests/signals and tests/test_cli.py pass.

--- a/brackengate/bridge/commands.py
+++ b/brackengate/bridge/commands.py
@@ -17,6 +17,8 @@
 
 import click
 
+from brackengate.mesh import fail
+
 if TYPE_CHECKING:
     from brackengate.bridge.ask import Bridge
     from brackengate.bridge.changes import Change
@@ -58,11 +60,6 @@
     """
 
 
-def _fail(text: str, code: int) -> NoReturn:
-    click.echo(f"brackengate: {text}", err=True)
-    raise SystemExit(code)
-
-
 def _run(at: Sequence[str], use: Callable[[Bridge], Coroutine[Any, Any, int]]) -> NoReturn:
     """Do it, and end with its exit code; every lighthouse that did not answer gets a line."""
     from brackengate.bridge.ask import Bridge, Unanswered
@@ -71,7 +68,7 @@
     try:
         addresses = [parse_address(one) for one in at]
     except ValueError as error:
-        _fail(f"--at: {error}", BAD)
+        fail(f"--at: {error}", BAD)
     code = FAILED
     try:
         code = asyncio.run(use(Bridge(addresses)))
@@ -178,7 +175,7 @@
         with click.open_file(file, "rb") as opened:
             return as_call(opened.read())
     except OSError as error:
-        _fail(f"step read, file {file}: {error.strerror}", BAD)
+        fail(f"step read, file {file}: {error.strerror}", BAD)
 
 
 @config.command()
@@ -284,7 +281,7 @@
 def _member(standings: Sequence[Standing], name: str) -> Standing:
     found = [one for one in standings if name in (one.addr, one.addr.rpartition(":")[0])]
     if not found:
-        _fail(f"no lighthouse {name} answered; there are {' '.join(one.addr for one in standings)}", REFUSED)
+        fail(f"no lighthouse {name} answered; there are {' '.join(one.addr for one in standings)}", REFUSED)
     return found[0]
 
 
@@ -437,7 +434,7 @@
             part.replace(path)  # an earlier backup stands until this one is whole
         except OSError as error:
             part.unlink(missing_ok=True)
-            _fail(f"step write, file {file}: {error.strerror}", BAD)
+            fail(f"step write, file {file}: {error.strerror}", BAD)
         click.echo(f"{file}: {len(held.items)} items at place {held.agreed}")
         return 0
 
@@ -460,8 +457,8 @@
     try:
         content = archive.unpack(Path(file).read_bytes())
     except OSError as error:
-        _fail(f"step read, file {file}: {error.strerror}", BAD)
+        fail(f"step read, file {file}: {error.strerror}", BAD)
     except archive.Unusable as error:
-        _fail(f"step read, file {file}: {error}", BAD)
+        fail(f"step read, file {file}: {error}", BAD)
     call = archive.call_of(content)
     _run(at, lambda bridge: _bring_in(bridge, call, wait, as_json))
--- a/brackengate/mesh.py
+++ b/brackengate/mesh.py
@@ -49,11 +49,11 @@
         settings = load(path)
         check_settings(settings, needed, path)
     except* BadSettings as group:
-        _fail("\nbrackengate: ".join(str(error) for error in group.exceptions), 2)
+        fail("\nbrackengate: ".join(str(error) for error in group.exceptions), 2)
     return settings
 
 
-def _fail(text: str, code: int) -> NoReturn:
+def fail(text: str, code: int) -> NoReturn:
     click.echo(f"brackengate: {text}", err=True)
     raise SystemExit(code)
 
@@ -62,9 +62,9 @@
     try:
         code = uvloop.run(work)
     except BadSettings as error:
-        _fail(str(error), 2)
+        fail(str(error), 2)
     except OSError as error:
-        _fail(f"an address could not be had: {error}", 1)
+        fail(f"an address could not be had: {error}", 1)
     logging.shutdown()
     os._exit(code)  # threads that wait for a disk in trouble must not hold up an end in order
 
