--- a/brackengate/pilot/role.py
+++ b/brackengate/pilot/role.py
@@ -29,6 +29,7 @@
 from brackengate.pilot.follow import Following
 from brackengate.pilot.gate import Beat, Gate
 from brackengate.pilot.table import Table
+from brackengate.pilot.wake import Wake
 from brackengate.pilot.watcher import Watcher
 from brackengate.pilot.way import WayOut, judge
 from brackengate.signals import settings as files
@@ -63,6 +64,7 @@
         inbound = plain(settings.listen.inbound, "Inbound")
         self._port = inbound[1]
         self.table = Table()
+        wake = Wake()
         self.gate = Gate(settings.zone, settings.feedback, settings.bounds.drain, secrets.token_hex(4))
         self._gates = Pool(loop, self._budget, CONNECT_S, IDLE_S, judge=judge, settle=0, silent_ms=SILENT_MS)
         self._own = Pool(loop, self._budget, CONNECT_S, IDLE_S, judge=own_judge)
@@ -74,6 +76,7 @@
             self.table,
             self._changed,
             clock.now,
+            wake.about,
         )
         me = settings.ip, settings.internal_ports[0]
         self.watcher = Watcher(me, clock.now, self.following.ask, self._standing)
@@ -86,6 +89,7 @@
             self._address_of,
             rng,
             (settings.bounds.retry_ratio, settings.bounds.retry_slack),
+            wake,
         )
         self.entry = Entry(
             loop,
@@ -98,6 +102,7 @@
             self.following.ask,
             self._gates,
             self._address_of,
+            wake,
         )
         listen = settings.listen
         self._clients = listener(
