Let short work among long come late rather than not at all, and judge waits by what runs

Ruled out: a wrong rank (the calls stand above the reads, as the operator set it); reads that leave no room (they were turned away at one waiting, the calls at three).

Change: what one takes is its time less the wait expected when it was sent; a wait is judged by the work that is at the upstream; what is short among long work may use more of the time that its caller has left.

--- a/tests/pilot/test_deciders.py
+++ b/tests/pilot/test_deciders.py
@@ -161,6 +161,23 @@
             load.takes("r", 2, 300 * MS, 700 * MS, False, 3 * S), Equals(True)
         )  # none came of late
 
+    def test_short_work_among_long_comes_late_rather_than_not_at_all(self) -> None:
+        """Their caller has spent more, and they cost those behind them little."""
+        for kind, bears in (("call", 4), ("r", 2)):
+            takes = []
+            for n in range(4, 16):
+                load = self.loaded(n, call=20 * MS, r=100 * MS)
+                takes.append(load.takes(kind, 1, 30 * MS, 200 * MS, False, 0))
+            self.assertThat(takes.index(False), Equals(bears), kind)
+
+    def test_what_waited_behind_long_work_is_not_taken_for_long_itself(self) -> None:
+        load = self.loaded(8, call=20 * MS, r=100 * MS)
+        for _ in range(30):  # each waits for five of those before it: 125 ms
+            load.ended(load.sent("call", 0), 145 * MS, True)
+        self.assertThat(load.takes("call", 1, 150 * MS, 160 * MS, False, 0), Equals(False))
+        load = self.loaded(7, call=20 * MS, r=100 * MS)
+        self.assertThat(load.takes("call", 1, 150 * MS, 160 * MS, False, 0), Equals(True))
+
 
 class Hops(TestCase):
     def test_a_step_is_read_as_it_was_said(self) -> None:
