Pass long answers on in pieces over both hops of the mesh, and free what their requests held

Need: an answer of over 1 MiB was refused at the gate (502, or 503 after two runs), although the present program passes up to 64 MiB on as it comes. And the gate never let go of a long request's body: what was held of each stayed taken from the bound until every stream had 16 KiB.

Weighed: to raise the bound of whole answers (a few dozen of 20 MiB would fill a pilot), or a second way for long ones beside the node. Taken: the streams and the budget that are there. The pool's judge reads only an answer's head, so it decides when the head is known to be long; what it does not find good is kept whole as before. A node's words make the head that goes on. Short answers stay whole at the mesh, also where they come slowly: a broken one is mended by another attempt.

A key's answer is kept for repeats up to 1 MiB; a longer one is passed on, and its repeat is told that this try has not run. A request's time counts at the gate from its body's last byte, as it does on the way out. One bound of 16 MiB holds for all bodies of a pilot.

--- a/benchmarks/fuzz.py
+++ b/benchmarks/fuzz.py
@@ -121,7 +121,7 @@
 
     def run(parts: Iterator[bytes], ends: bool) -> list[object]:
         machine = upstream.UpstreamMachine()
-        machine.ask(0, None, in_pieces=bool(data[0] & 4))
+        machine.ask(0, None, upstream.Passing() if data[0] & 4 else None)
         machine.next_piece(0)
         told: list[object] = []
         passed, begun = b"", False
@@ -130,9 +130,9 @@
             nonlocal passed, begun
             for event in events:
                 match event:
-                    case upstream.Begins(first, content_type, length):
-                        begun, passed = True, first
-                        told.append((content_type, length))
+                    case upstream.Begins(head, length):
+                        begun, passed = True, head.body
+                        told.append((head.status, dict(head.fields), length))
                     case upstream.Piece(piece):
                         passed += piece
                     case upstream.Answered(status, fields, body):
--- a/brackengate/http/caller.py
+++ b/brackengate/http/caller.py
@@ -18,7 +18,7 @@
 
 from brackengate.http.body import WHOLE, too_slow
 from brackengate.http.chunks import Chunks, unreadable
-from brackengate.http.message import MAX_HEAD, Arrival, Bad, response
+from brackengate.http.message import MAX_HEAD, Arrival, Bad, first_line, response
 from brackengate.http.rules import ALWAYS_ONCE, Rule, broken_line, form, origin_form, request_fault
 from brackengate.http.table import CALLER, Caller, CallerMove, step
 
@@ -556,7 +556,13 @@
     # --- long answers
 
     def begin_answer(
-        self, now: int, length: int | None, content_type: bytes, extra: bytes, draining: bool
+        self,
+        now: int,
+        length: int | None,
+        content_type: bytes,
+        extra: bytes,
+        draining: bool,
+        status: int = 200,
     ) -> list[Command]:
         """The head of an answer whose body follows in pieces: in its length, in chunks or until the end."""
         arrival = self._arrival
@@ -565,7 +571,7 @@
         self._move(CallerMove.ANSWER_BEGINS)
         self._chunked_out = length is None and arrival.version != "1.0"
         self._close_after = self._last(arrival, draining) or (length is None and not self._chunked_out)
-        head = b"HTTP/1.1 200 OK\r\n"
+        head = first_line(status)
         if length is not None:
             head += b"Content-Length: %d\r\n" % length
         elif self._chunked_out:
--- a/brackengate/http/message.py
+++ b/brackengate/http/message.py
@@ -69,6 +69,10 @@
         return []
 
 
+def first_line(status: int) -> bytes:
+    return b"HTTP/1.1 %d %s\r\n" % (status, REASONS.get(status, b"Status"))
+
+
 def response(
     status: int, body: bytes, content_type: bytes, retry_after: int, close: bool, extra: bytes = b""
 ) -> bytes:
--- a/brackengate/http/upstream.py
+++ b/brackengate/http/upstream.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import httptools
@@ -31,10 +32,9 @@
 
 @dataclass(slots=True)
 class Begins:
-    """The first bytes of a long answer; the rest comes in `Piece`s."""
+    """The head and the first bytes of a long answer; the rest comes in `Piece`s."""
 
-    first: bytes
-    content_type: bytes
+    head: Answered
     length: int | None
 
 
@@ -45,7 +45,10 @@
 
 @dataclass(slots=True)
 class Answered:
-    """A whole answer.  `body` is empty where it was passed on.  `reuse`: the connection may serve another."""
+    """A whole answer.  `body` is empty where it was passed on.  `reuse`: the connection may serve another.
+
+    Of one that begins (`Begins`) it has the head, and what there is of the body.
+    """
 
     status: int
     fields: dict[bytes, bytes]
@@ -67,6 +70,15 @@
 Event = Begins | Piece | Answered | Spoilt | Unasked
 
 
+@dataclass(frozen=True, slots=True)
+class Passing:
+    """Which answers are passed on as they come."""
+
+    may: Callable[[Answered], bool] = lambda head: head.status == 200  # as the head says; a pure function
+    whole: int = WHOLE  # up to here a body is kept until it is whole
+    slow: bool = True  # also a shorter one, where it comes slowly
+
+
 class UpstreamMachine:
     """All times are whole microseconds of one clock that never goes back."""
 
@@ -77,7 +89,7 @@
         self.held_back = False  # the caller can't take more of the answer now
         self.asked_at = self.moved_at = 0  # when a piece of either body last moved, while one is under way
         self._parser = httptools.HttpResponseParser(self)
-        self._in_pieces = False
+        self._passing: Passing | None = None  # None: somebody must have it whole
         self._request: Body | None = None
         self._sent_all = False  # of a request's body
         self._clear()
@@ -101,12 +113,12 @@
 
     # --- the request
 
-    def ask(self, now: int, body: Body | None = None, in_pieces: bool = False) -> None:
-        """An exchange begins: the carrier writes its head.  `in_pieces`: a long answer may be passed on."""
+    def ask(self, now: int, body: Body | None = None, passing: Passing | None = None) -> None:
+        """An exchange begins: the carrier writes its head.  `passing`: a long answer may be passed on."""
         self._move(UpstreamMove.ASKS)
         self.written = self.heard = self._sent_all = False
         self.asked_at = self.moved_at = now
-        self._request, self._in_pieces = body, in_pieces
+        self._request, self._passing = body, passing
 
     def next_piece(self, now: int) -> bytes | None:
         """What to write next, once all before it is with the kernel.  Empty: that was all, and it is written.
@@ -215,15 +227,16 @@
         answer so: a break shows as a reset.
         """
         told = fields.get(b"content-length")
-        self._length = int(told) if told is not None else None
-        self._in_pieces = self._in_pieces and status == 200
-        if self._length is not None and self._length > (MAX_STREAM if self._in_pieces else MAX_ANSWER):
-            raise Bad(502, f"answer too large: {self._length}")
+        length = self._length = int(told) if told is not None else None
+        if length is not None and self._passing is not None and length > self._passing.whole:
+            self._ask_whether()
+        if length is not None and length > self._most():
+            raise Bad(502, f"answer too large: {length}")
         if b"transfer-encoding" in fields:
             self._chunks = Chunks()
         elif told is None and not self._complete:
             closes = fields.get(b"connection", b"").strip().lower() == b"close"
-            if status == 200 and not (closes and self.written):
+            if status < 300 and not (closes and self.written):
                 raise Bad(502, "an answer without a length")
             self._till_close = True
         self._head_at = now
@@ -250,7 +263,8 @@
         pieces, self._pieces = self._pieces, []
         for piece in pieces:
             self._size += len(piece)
-            if self._size > (MAX_STREAM if self._in_pieces else MAX_ANSWER):
+            begins = self.state is not Upstream.PASSING and self._long(now) and self._ask_whether()
+            if self._size > self._most():
                 raise Bad(502, "answer too large")
             if self.state is Upstream.PASSING:
                 self.moved_at = now
@@ -258,7 +272,7 @@
                 continue
             self._body.append(piece)
             self.kept += len(piece)
-            if self._in_pieces and self._long(now):
+            if begins:
                 self._pass_on(now, out)
         if ends:
             # More than the answer: what it belongs to nobody can tell, so the connection is not used again.
@@ -272,18 +286,34 @@
             else:
                 self._close()
 
+    def _most(self) -> int:
+        return MAX_ANSWER if self._passing is None else MAX_STREAM
+
     def _long(self, now: int) -> bool:
         """Whether an answer is passed on as it comes: it is long, or comes slowly."""
+        passing = self._passing
+        if passing is None:
+            return False
         if self._length is not None:
-            return self._length > WHOLE
-        return self._size > WHOLE or now - self._head_at > FIRST
+            return self._length > passing.whole
+        return self._size > passing.whole or (passing.slow and now - self._head_at > FIRST)
+
+    def _ask_whether(self) -> bool:
+        """Judge a long answer by its head.  A failure that comes before the request is all there is kept."""
+        if self._passing is not None and (
+            not self._passing.may(self._head()) or (self._status >= 300 and not self.written)
+        ):
+            self._passing = None
+        return self._passing is not None
+
+    def _head(self, body: bytes = b"") -> Answered:
+        return Answered(self._status, self._fields, body, False, self._headers)
 
     def _pass_on(self, now: int, out: list[Event]) -> None:
         if not self.written:
             raise Bad(502, "an answer to a request that is not all there")
         self._move(UpstreamMove.PASSED_ON)
-        first = b"".join(self._body)
-        out.append(Begins(first, self._fields.get(b"content-type", b""), self._length))
+        out.append(Begins(self._head(b"".join(self._body)), self._length))
         self._body, self.kept = [], 0
         self.moved_at = now
 
--- a/brackengate/net/http.py
+++ b/brackengate/net/http.py
@@ -283,7 +283,9 @@
         """Begin an answer whose rest comes in pieces."""
         transport, now = self._transport, self._clock.now()
         draining = self._server.draining
-        head = self.machine.begin_answer(now, stream.length, reply.content_type, reply.extra, draining)
+        head = self.machine.begin_answer(
+            now, stream.length, reply.content_type, reply.extra, draining, reply.status
+        )
         if not head or transport is None or transport.is_closing():
             return
         if self.sock is not None:
--- a/brackengate/net/node.py
+++ b/brackengate/net/node.py
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 from brackengate.http.body import AnswerSink, AnswerStream, Body
+from brackengate.http.upstream import Answered
 from brackengate.interface import (
     Action,
     AnswerStarted,
@@ -131,6 +132,9 @@
 
     def served(self, result: Result) -> Reply: ...
 
+    def begins(self, head: Answered) -> Reply:
+        """Of a long answer, with the first bytes of its body."""
+
     def unserved(self, status: int, retry_after: int, last: Result | None, ran: Sequence[Earlier]) -> Reply:
         """`last`: the last whole answer that was no success, where there was one."""
 
@@ -139,6 +143,9 @@
     def served(self, result: Result) -> Reply:
         return Reply(200, result.body, result.content_type)
 
+    def begins(self, head: Answered) -> Reply:
+        return Reply(200, head.body, head.fields.get(b"content-type", b""))
+
     def unserved(self, status: int, retry_after: int, last: Result | None, ran: Sequence[Earlier]) -> Reply:
         return Reply(status, retry_after=retry_after, ran=ran)
 
@@ -414,8 +421,7 @@
         exchange: Exchange,
         number: int,
         attempt: Attempt,
-        first: bytes,
-        content_type: bytes,
+        head: Answered,
         stream: AnswerStream,
     ) -> AnswerSink | None:
         """The first bytes of a long answer: from here on it is the request's, and there is no way back."""
@@ -427,7 +433,9 @@
             exchange.overdue.cancel()
         if attempt.timer is not None:
             attempt.timer.cancel()
-        exchange.caller.answer(Reply(200, first, content_type, stream=stream))
+        reply = self._words.begins(head)
+        reply.stream = stream
+        exchange.caller.answer(reply)
         exchange.sink = stream.sink
         self._post(AnswerStarted(exchange.id, number, attempt.row.upstream, self.clock.now() - attempt.sent))
         return stream.sink
--- a/brackengate/net/upstream.py
+++ b/brackengate/net/upstream.py
@@ -13,7 +13,7 @@
 from typing import Any, Protocol, cast
 
 from brackengate.http import upstream as machine
-from brackengate.http.body import AnswerSink, AnswerStream, Body, ByteBudget
+from brackengate.http.body import WHOLE, AnswerSink, AnswerStream, Body, ByteBudget
 from brackengate.http.table import Upstream as State
 from brackengate.http.upstream import MAX_STREAM, UpstreamMachine
 from brackengate.interface import LoadReport, Outcome
@@ -67,7 +67,7 @@
 class Begun(Protocol):
     """Who is asked whether an answer may be passed on in pieces; None: nobody wants it any more."""
 
-    def __call__(self, first: bytes, content_type: bytes, stream: AnswerStream) -> AnswerSink | None: ...
+    def __call__(self, head: machine.Answered, stream: AnswerStream) -> AnswerSink | None: ...
 
 
 def load_report(text: str) -> LoadReport | None:
@@ -121,6 +121,7 @@
         "payload",
         "probe",
         "sink",
+        "whole",
     )
 
     def __init__(
@@ -131,12 +132,13 @@
         wrote: Callable[[], None] | None = None,
         body: Body | None = None,
         begun: Begun | None = None,
+        whole: int = WHOLE,
     ) -> None:
         """`wrote`: told once, when the last byte is with the kernel.  `body`: what follows `payload` in
-        pieces.  `begun`: takes a long answer in pieces; None: it must be whole."""
+        pieces.  `begun`: takes an answer of over `whole` bytes in pieces; None: it must be whole."""
         self.probe = probe
         self._wrote = wrote
-        self.body, self.begun = body, begun
+        self.body, self.begun, self.whole = body, begun, whole
         self.sink: AnswerSink | None = None  # once an answer is passed on
         self.again = False  # sent a second time
         self.payload = payload
@@ -213,7 +215,8 @@
         a rest it had to keep is out, so `written` never counts bytes that lie in the transport.
         """
         self._job, job.connection = job, self
-        self.machine.ask(now, job.body, job.begun is not None)
+        passing = None if job.begun is None else self.pool.passing(job.payload, job.whole)
+        self.machine.ask(now, job.body, passing)
         self._write(job.payload)
         if job.body is not None and not job.body.open(self._pump):
             self.drop()
@@ -334,7 +337,7 @@
         """The first bytes are there: the rest goes the same way, as fast as the caller takes it."""
         stream = AnswerStream(answer.length, self._hold_back, partial(job.give_up, Outcome.CANCELLED))
         assert job.begun is not None
-        job.sink = stream.sink = job.begun(answer.first, answer.content_type, stream)
+        job.sink = stream.sink = job.begun(answer.head, stream)
         return job.sink is not None
 
     def _hold_back(self, on: bool) -> None:
@@ -404,10 +407,13 @@
         wire: Wire | None = None,
         judge: Judge = lambda _, answer: result_of(answer),
         settle: int | None = None,
+        slow: bool = True,
     ) -> None:
         """`wire`: what it stands on, in place of the machine's clock and sockets.  `judge`: says what a whole
-        answer means.  `settle`: how long a connection rests after an answer, in microseconds."""
-        self.judge, self._settle = judge, SETTLE if settle is None else settle
+        answer means, and by its head whether a long one is passed on; a pure function.  `settle`: how long a
+        connection rests after an answer, in microseconds.  `slow`: short ones that come slowly are passed on,
+        too."""
+        self.judge, self._settle, self._slow = judge, SETTLE if settle is None else settle, slow
         self.bytes = bytes_ or ByteBudget(MAX_STREAM)
         self.now = wire.now if wire is not None else monotonic_us
         self._new_socket = wire.socket if wire is not None else unconnected
@@ -433,6 +439,7 @@
         wrote: Callable[[], None] | None = None,
         body: Body | None = None,
         begun: Begun | None = None,
+        whole: int = WHOLE,
     ) -> Job:
         """Send on the warmest idle connection, else on a new one.  `done` never comes before this returns.
 
@@ -440,7 +447,7 @@
         at once they would be read as the answer to the next request.  Probes' answers, small and made beside
         the work, are held to settle at once.
         """
-        job, now = Job(payload, done, probe, wrote, body, begun), self.now()
+        job, now = Job(payload, done, probe, wrote, body, begun, whole), self.now()
         settled, trusted = now - self._settle, now - self._trusted(now)
         for connection in self._idle.get(name, [])[::-1]:
             if connection.settles and connection.idle_since > settled:
@@ -453,6 +460,12 @@
         self.dial(job, name, address)
         return job
 
+    def passing(self, payload: bytes, whole: int) -> machine.Passing:
+        """Which answers to a request are passed on as they come: only what is judged good."""
+        return machine.Passing(
+            lambda head: self.judge(payload, head).outcome is Outcome.OK, whole, self._slow
+        )
+
     def dial(self, job: Job, name: str, address: Address) -> None:
         """Send on a new connection.
 
--- a/brackengate/pilot/entry.py
+++ b/brackengate/pilot/entry.py
@@ -14,13 +14,14 @@
 from functools import partial
 from typing import Any
 
+from brackengate.http.body import WHOLE, AnswerSink, AnswerStream
 from brackengate.http.message import Arrival, Bad
-from brackengate.http.upstream import Answered
+from brackengate.http.upstream import MAX_ANSWER, Answered
 from brackengate.interface import Outcome
 from brackengate.net.http import CallerConnection
 from brackengate.net.node import Clock, Reply
 from brackengate.net.sockets import Address
-from brackengate.net.upstream import Job, Pool, Result
+from brackengate.net.upstream import Begun, Job, Pool, Result
 from brackengate.pilot.gate import Gate, Operation, Operations, State
 from brackengate.pilot.hop import (
     ATTEMPT,
@@ -55,11 +56,12 @@
     Said.UNREACHED,
     Said.UNCLAIMED,
 )  # said by the gate that had the claim
-KEPT_BYTES = 24 << 20
+RAN = b"%s: %s\r\n" % (HOP, Said.RAN.value)
+KEPT_BYTES = 24 << 20  # of answers to operations; one of over MAX_ANSWER is passed on, and not kept
 
 
 def own_judge(payload: bytes, answer: Answered) -> Result:
-    """What an upstream's answer means: whose it is stands in it."""
+    """What an upstream's answer means, by its head: whose it is stands in it."""
     asked = _value(payload, ATTEMPT)
     told = answer.fields.get(ATTEMPT.lower())
     if told is not None and asked is not None and told != asked:
@@ -91,7 +93,14 @@
     job: Job | None = None
     operation: Operation | None = None
     ticket: Ticket | None = None
-    over: bool = False
+    sink: AnswerSink | None = None  # once a long answer is passed on
+    over: bool = False  # it is answered, or its answer has begun, or nobody awaits one
+
+    @property
+    def open(self) -> bool:
+        """Whether its body is still coming."""
+        stream = self.arrival.stream
+        return stream is not None and not stream.whole
 
 
 class Entry:
@@ -133,8 +142,9 @@
         visit = Visit(arrival, connection, step, arrival.at + int(left) * 1000)
         connection.hold(partial(self._gone, visit))
         self.visits.add(visit)
-        wait = (visit.deadline - self._clock.now()) / 1e6 + SLACK_S
-        visit.timer = self._loop.call_later(max(0.0, wait), self._late, visit)
+        self._await(visit)
+        if arrival.stream is not None:
+            arrival.stream.on_end = partial(self._body_ended, visit, visit.deadline - arrival.at)
         if step.keyed:
             self._keyed(visit)
         else:
@@ -173,19 +183,29 @@
             head + visit.arrival.body,
             partial(self._ran, visit),
             body=visit.arrival.stream,
+            begun=self._passes(visit, partial(passed_on, drop=(HOP, UNRUN), add=RAN)),
+            whole=WHOLE if visit.operation is None else MAX_ANSWER,
         )
-        if visit.operation is not None:  # it goes on without its caller, but not for ever
-            wait = (visit.deadline - self._clock.now()) / 1e6 + HANGS_S
-            self._loop.call_later(wait, visit.job.give_up, Outcome.TIMEOUT)
+        if visit.operation is not None and not visit.open:
+            self._bound(visit.job, visit)
+
+    def _bound(self, job: Job, visit: Visit) -> None:
+        """An operation goes on without its caller, but not for ever."""
+
+        def hangs() -> None:
+            if visit.sink is None:  # an answer that has begun goes on for as long as it is given and taken
+                job.give_up(Outcome.TIMEOUT)
+
+        self._loop.call_later((visit.deadline - self._clock.now()) / 1e6 + HANGS_S, hangs)
 
     def _ran(self, visit: Visit, result: Result) -> None:
         visit.job = None
         operation, answer = visit.operation, result.answer
-        if visit.ticket is not None:
-            self.load.ended(visit.ticket, self._clock.now(), result.outcome is Outcome.OK)
-            visit.ticket = None
+        self._unload(visit, result.outcome is Outcome.OK)
+        if self._passed(visit, result):
+            return
         if result.outcome is Outcome.OK and answer is not None:
-            reply = passed_on(answer, drop=(HOP, UNRUN), add=b"%s: ran\r\n" % HOP)
+            reply = passed_on(answer, drop=(HOP, UNRUN), add=RAN)
             if operation is not None:
                 self._operations.keep(operation, reply, len(reply.body) + len(reply.extra))
             self._answer(visit, reply)
@@ -202,6 +222,86 @@
             self._say(visit, Said.BROKEN if broken else Said.SPOILT)
         if operation is not None:
             self._settle(operation)
+        self._let_go(visit)
+
+    def _unload(self, visit: Visit, ran: bool) -> None:
+        if visit.ticket is not None:
+            self.load.ended(visit.ticket, self._clock.now(), ran)
+            visit.ticket = None
+
+    # --- long bodies
+
+    def _body_ended(self, visit: Visit, limit: int) -> None:
+        """A request that came in pieces is whole: its time counts from here.  Or its rest will not come."""
+        stream, job = visit.arrival.stream, visit.job
+        assert stream is not None
+        if stream.cut:
+            self._end(visit)
+            if job is not None and not job.written:
+                job.give_up(Outcome.CONNECT_FAILED)  # what is not written whole has not run
+        elif not visit.over:
+            visit.deadline = self._clock.now() + limit
+            self._await(visit)
+            if visit.operation is not None and job is not None:
+                self._bound(job, visit)
+
+    def _passes(self, visit: Visit, made: Callable[[Answered], Reply]) -> Begun | None:
+        """Who takes a long answer; none where a length is told and no body follows.  `made`: what goes back
+        of its head."""
+        return None if visit.arrival.method == b"HEAD" else partial(self._begun, visit, made)
+
+    def _begun(
+        self, visit: Visit, made: Callable[[Answered], Reply], head: Answered, stream: AnswerStream
+    ) -> AnswerSink | None:
+        """A long answer's head and first bytes are there: it is the caller's from here on.
+
+        It is not kept: of its operation nobody can be told any more than that it has run.
+        """
+        self._unload(visit, True)
+        operation = visit.operation
+        if operation is not None:
+            operation.state = State.LOST
+            self._settle(operation)
+        if visit.over:
+            return None
+        reply = made(head)
+        reply.stream = stream
+        self._answer(visit, reply)
+        visit.sink = stream.sink
+        if visit.sink is not None:
+            self.visits.add(visit)  # until its last byte
+        return visit.sink
+
+    def _passed(self, visit: Visit, result: Result) -> bool:
+        """Whether its answer had begun; then this is its end."""
+        sink, visit.sink = visit.sink, None
+        if sink is None:
+            return False
+        (sink.finish if result.outcome is Outcome.OK else sink.cut)()
+        self._end(visit)
+        return True
+
+    def _read_off(self, visit: Visit, reply: Reply) -> None:
+        """A repeat's body that still comes: it is let go, since whoever sends it takes no success before its
+        end."""
+        stream = visit.arrival.stream
+        assert stream is not None
+
+        def wake() -> None:
+            while stream.take() is not None:
+                pass
+            if stream.over:
+                self._answer(visit, reply)
+
+        if stream.open(wake):
+            wake()
+        else:
+            self._say(visit, Said.UNKNOWN)
+
+    def _let_go(self, visit: Visit) -> None:
+        """Nobody will read its body any more: what is held of it counts."""
+        if visit.over and visit.job is None and visit.arrival.stream is not None:
+            visit.arrival.stream.cut_off()
 
     # --- keys
 
@@ -265,7 +365,8 @@
         log.debug("gate: join of %r: %s", operation.key, operation.state.name)
         state, now = operation.state, self._clock.now()
         if state is State.DONE and isinstance(operation.answer, Reply):
-            self._answer(visit, _again(operation.answer, visit.arrival))
+            reply = _again(operation.answer, visit.arrival)
+            (self._read_off if visit.open else self._answer)(visit, reply)
         elif state in (State.CLAIMING, State.RUNNING):
             operation.waiters.append(visit)
         elif state is State.UNRUN:
@@ -315,6 +416,8 @@
 
         def done(result: Result) -> None:
             visit.job = None
+            if self._passed(visit, result):
+                return
             answer = result.answer
             said = hop_of(answer.fields) if answer is not None else None
             if answer is not None and said is Said.RAN:
@@ -327,9 +430,15 @@
             else:  # the other gate may have begun to run this very try
                 unsent = result.outcome in (Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
                 self._say(visit, Said.UNKNOWN if unsent else Said.BROKEN)
+            self._let_go(visit)
 
         visit.job = self._peers.start(
-            name, address, head + visit.arrival.body, done, body=visit.arrival.stream
+            name,
+            address,
+            head + visit.arrival.body,
+            done,
+            body=visit.arrival.stream,
+            begun=self._passes(visit, partial(passed_on, drop=())),
         )
 
     # --- answers
@@ -346,9 +455,15 @@
             log.debug("gate: %s: %s %s", visit.step.instance, said.name, why)
             self._answer(visit, Reply(status, extra=b"%s: %s\r\n" % (HOP, said.value)))
 
+    def _await(self, visit: Visit) -> None:
+        if visit.timer is not None:
+            visit.timer.cancel()
+        wait = (visit.deadline - self._clock.now()) / 1e6 + SLACK_S
+        visit.timer = self._loop.call_later(max(0.0, wait), self._late, visit)
+
     def _late(self, visit: Visit) -> None:
-        if visit.over:
-            return
+        if visit.over or (visit.open and visit.job is not None):
+            return  # the second: its time counts from its body's end
         operation = visit.operation
         waits = operation is None and visit.step.keyed
         self._say(visit, Said.BUSY if waits else Said.LATE)
@@ -366,6 +481,7 @@
         if visit.timer is not None:
             visit.timer.cancel()
         self.visits.discard(visit)
+        self._let_go(visit)
 
 
 def _again(reply: Reply, arrival: Arrival) -> Reply:
--- a/brackengate/pilot/role.py
+++ b/brackengate/pilot/role.py
@@ -18,6 +18,7 @@
 
 import msgspec
 
+from brackengate.http.body import ByteBudget
 from brackengate.net.node import Clock
 from brackengate.net.server import Server
 from brackengate.net.sockets import Address, SocketBudget, bind
@@ -41,6 +42,7 @@
 REPORT_WITHIN_S = 1.0
 LAST_CALL = 0.55  # of the grace: clients still come until two looks at readiness have failed
 NEWS_S = 0.3  # for the news that the gate will close
+BODIES = 16 << 20  # bytes: what all bodies in pieces hold together; memory at its peak has a price
 SPARE_S = 0.6  # of the grace, at its end
 
 
@@ -60,8 +62,9 @@
         self._port = inbound[1]
         self.table = Table()
         self.gate = Gate(settings.zone, settings.feedback, settings.bounds.drain)
-        self._gates = Pool(loop, self._budget, CONNECT_S, IDLE_S, judge=judge, settle=0)
-        self._own = Pool(loop, self._budget, CONNECT_S, IDLE_S, judge=own_judge)
+        bytes_ = ByteBudget(BODIES)
+        self._gates = Pool(loop, self._budget, CONNECT_S, IDLE_S, bytes_, judge=judge, settle=0, slow=False)
+        self._own = Pool(loop, self._budget, CONNECT_S, IDLE_S, bytes_, judge=own_judge, slow=False)
         self.following = Following(
             settings.ip,
             settings.zone,
@@ -71,7 +74,9 @@
             self._changed,
             clock.now,
         )
-        self.way = WayOut(loop, clock, self._budget, self.table, settings.plant, self._address_of, rng)
+        self.way = WayOut(
+            loop, clock, self._budget, self.table, settings.plant, self._address_of, rng, bytes_
+        )
         self.entry = Entry(
             loop,
             clock,
@@ -86,9 +91,9 @@
         )
         listen = settings.listen
         self._clients = listener(
-            loop, clock, [bind(plain(listen.outbound, "Outbound"))], self.way, self._budget
+            loop, clock, [bind(plain(listen.outbound, "Outbound"))], self.way, self._budget, bytes_
         )
-        self._gate_door = listener(loop, clock, [bind(inbound)], self.entry, self._budget)
+        self._gate_door = listener(loop, clock, [bind(inbound)], self.entry, self._budget, bytes_)
         readiness = Readiness(lambda: self.ready)
         self._others: list[Server] = [
             listener(loop, clock, [bind(plain(listen.readiness, "Readiness"))], readiness, self._budget),
--- a/brackengate/pilot/way.py
+++ b/brackengate/pilot/way.py
@@ -11,6 +11,7 @@
 from functools import partial
 
 from brackengate.brain import Balancer
+from brackengate.http.body import ByteBudget
 from brackengate.http.message import Arrival, Bad
 from brackengate.http.upstream import Answered
 from brackengate.interface import (
@@ -91,6 +92,9 @@
         assert answer is not None
         return passed_on(answer)
 
+    def begins(self, head: Answered) -> Reply:
+        return passed_on(head)
+
     def unserved(self, status: int, retry_after: int, last: Result | None, ran: Sequence[Earlier]) -> Reply:
         answer = last.answer if last is not None else None
         if answer is not None and hop_of(answer.fields) is Said.RAN and status != OVERDUE:
@@ -109,11 +113,17 @@
     """The upstreams of one service, and the module that chooses among them."""
 
     def __init__(
-        self, name: str, loop: asyncio.AbstractEventLoop, clock: Clock, budget: SocketBudget, seed: int
+        self,
+        name: str,
+        loop: asyncio.AbstractEventLoop,
+        clock: Clock,
+        budget: SocketBudget,
+        seed: int,
+        bytes_: ByteBudget | None = None,
     ) -> None:
         self.name, self._clock = name, clock
         self.pool = Pool(
-            loop, budget, CONNECT_S, IDLE_S, judge=judge, settle=0
+            loop, budget, CONNECT_S, IDLE_S, bytes_, judge=judge, settle=0, slow=False
         )  # a node's list is its pool's
         settings = Settings(
             classes=(),
@@ -171,10 +181,12 @@
         plant: str,
         address_of: Callable[[str], Address],
         rng: random.Random,
+        bytes_: ByteBudget | None = None,
     ) -> None:
-        """`plant`: the service beside this pilot.  `address_of`: where the pilot of a machine is reached."""
+        """`plant`: the service beside this pilot.  `address_of`: where the pilot of a machine is reached.
+        `bytes_`: the process's bound on bodies."""
         self._loop, self._clock, self._budget, self._table = loop, clock, budget, table
-        self._plant, self._address_of, self._rng = plant.encode(), address_of, rng
+        self._plant, self._address_of, self._rng, self._bytes = plant.encode(), address_of, rng, bytes_
         self.services: dict[str, Service] = {}
         self._count = 0
 
@@ -190,7 +202,9 @@
             for name in classes:
                 if name not in self.services:
                     seed = self._rng.getrandbits(64)
-                    self.services[name] = Service(name, self._loop, self._clock, self._budget, seed)
+                    self.services[name] = Service(
+                        name, self._loop, self._clock, self._budget, seed, self._bytes
+                    )
             for name, service in self.services.items():
                 service.classes(classes.get(name, {}))
         rows: dict[str, list[tuple[str, Instance, Address]]] = {}
@@ -220,6 +234,7 @@
         message = Outgoing(head, arrival.body, stream=arrival.stream, keyed=keyed, route_name=route.name)
         message.aim_before_end_ms = max(0, route.cutoff - route.setpoint) // 1000
         message.rank = max(0, route.priority)
+        message.in_pieces = arrival.method != b"HEAD"  # its answer tells a length and has no body
         message.again = limit < AGAIN_PART * route.cutoff
         connection.hold(partial(service.node.gone, request.request, connection))
         service.node.submit(request, message, connection)
--- a/brackengate/signals/door.py
+++ b/brackengate/signals/door.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from urllib.parse import parse_qs
 
+from brackengate.http.body import ByteBudget
 from brackengate.http.message import Arrival, Bad
 from brackengate.interface import Request, RequestClass
 from brackengate.net.http import ANY, CallerConnection, Front
@@ -51,11 +52,12 @@
     sockets: Sequence[socket.socket],
     front: Front,
     budget: SocketBudget | None = None,
+    bytes_: ByteBudget | None = None,
 ) -> Server:
-    """A server whose every path is one front's."""
+    """A server whose every path is one front's.  `bytes_`: what its bodies in pieces may hold."""
     fronts: Mapping[bytes, Front] = {ANY: front}
     budget = budget or SocketBudget(512)
-    return Server(loop, NoCore(clock), budget, sockets, fronts=fronts, once=ONCE, bare=True)
+    return Server(loop, NoCore(clock), budget, sockets, fronts=fronts, bytes_=bytes_, once=ONCE, bare=True)
 
 
 def rpc(target: bytes) -> tuple[str, str]:
@@ -80,6 +82,7 @@
             pieces.append(piece)
         if stream.over:
             stream.close()
+            stream.cut_off()
             done(b"".join(pieces))
 
     if not stream.open(wake):
--- a/tests/http/machines.py
+++ b/tests/http/machines.py
@@ -82,7 +82,7 @@
 
     def __post_init__(self) -> None:
         self.machine = upstream.UpstreamMachine()
-        self.machine.ask(0, None, self.in_pieces)
+        self.machine.ask(0, None, upstream.Passing() if self.in_pieces else None)
         if self.written:
             self.machine.next_piece(0)
         self.said: list[tuple[object, ...]] = []
@@ -92,8 +92,8 @@
     def take(self, events: Sequence[upstream.Event]) -> None:
         for event in events:
             match event:
-                case upstream.Begins(first, _, _):
-                    self.body = first
+                case upstream.Begins(head, _):
+                    self.body = head.body
                 case upstream.Piece(data):
                     self.body += data
                 case upstream.Answered(status, _, body, reuse):
--- a/tests/http/test_model.py
+++ b/tests/http/test_model.py
@@ -241,7 +241,7 @@
     while todo:
         history = todo.popleft()
         machine, ends, asked = upstream.UpstreamMachine(), 0, 1
-        machine.ask(0, None, True)
+        machine.ask(0, None, upstream.Passing())
         for move in history:
             before = machine.state
             events: list[upstream.Event] = []
@@ -254,7 +254,7 @@
                     with pytest.raises(LocalFault):
                         machine.ask(0)
                     break
-                machine.ask(0, None, True)
+                machine.ask(0, None, upstream.Passing())
                 asked += 1
             else:
                 assert isinstance(move, bytes)
--- /dev/null
+++ b/tests/pilot/pilots.py
@@ -0,0 +1,151 @@
+"""Both hops of the mesh in this process, on loopback sockets; the core that grants claims is a script.
+
+caller -> way out -> gate -> upstream
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from peers import Caller, chunk
+from test_bodies import BLOCK, Reader
+
+from brackengate.http.body import ByteBudget
+from brackengate.net.node import Clock
+from brackengate.net.sockets import SocketBudget, bind
+from brackengate.net.upstream import Pool
+from brackengate.pilot.entry import Entry, own_judge
+from brackengate.pilot.gate import Beat, Gate
+from brackengate.pilot.table import Table
+from brackengate.pilot.way import WayOut, judge
+from brackengate.signals.door import listener
+
+LOCAL = "127.0.0.1"
+MS, S = 1_000, 1_000_000
+FORMS = {
+    "length": lambda size: b"Content-Length: %d\r\n" % size,
+    "chunks": lambda size: b"Transfer-Encoding: chunked\r\n",
+    "close": lambda size: b"Connection: close\r\n",
+}
+Act = Callable[["Upstream", Reader, asyncio.StreamWriter], Awaitable[None]]
+
+
+def head(reader: Reader, framing: bytes, status: int = 200, seal: bool = True) -> bytes:
+    """Of an answer to what was read."""
+    said = b"X-Brackengate-Attempt-Id: " + reader.headers["x-brackengate-attempt-id"].encode() + b"\r\n"
+    said += b"X-Brackengate-Server-Seal: seal\r\n" if seal else b""
+    return b"HTTP/1.1 %d X\r\n%s%s\r\n" % (status, framing, said)
+
+
+async def body(writer: asyncio.StreamWriter, size: int, form: str) -> None:
+    while size:
+        block = BLOCK[: min(size, 1 << 18)]
+        writer.write(chunk(block) if form == "chunks" else block)
+        await writer.drain()
+        size -= len(block)
+
+
+def answers(size: int, form: str = "length", status: int = 200) -> Act:
+    """Reads the request and gives that many bytes of `BLOCK`, over and over."""
+
+    async def act(upstream: Upstream, reader: Reader, writer: asyncio.StreamWriter) -> None:
+        await reader.body()
+        upstream.ran.append(reader)
+        writer.write(head(reader, FORMS[form](size), status))
+        await body(writer, size, form)
+        if form == "chunks":
+            writer.write(b"0\r\n\r\n")
+        if form == "close":
+            writer.close()
+
+    return act
+
+
+class Upstream:
+    """`act` does what it does with a request whose head has come; `ran` is what it has executed."""
+
+    def __init__(self, act: Act) -> None:
+        self.act = act
+        self.ran: list[Reader] = []
+        self.heads = 0
+        self.ended: asyncio.Queue[None] = asyncio.Queue()  # connections
+
+    async def start(self) -> Upstream:
+        self.server = await asyncio.start_server(self._connected, LOCAL, 0)
+        self.port: int = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def _connected(self, stream: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                reader = Reader(stream)
+                await reader.head()
+                self.heads += 1
+                await self.act(self, reader, writer)
+        except (OSError, asyncio.IncompleteReadError):
+            self.ended.put_nowait(None)
+            writer.close()
+
+
+class Mesh:
+    """One pilot beside the caller, one beside the upstream; bodies of each have a budget of their own."""
+
+    def __init__(self, upstream: Upstream, bytes_: int = 16 << 20) -> None:
+        loop = asyncio.get_running_loop()
+        self.clock, sockets = Clock(), SocketBudget(2000)
+        self.out, self.inside = ByteBudget(bytes_), ByteBudget(bytes_)
+        self.gate = Gate("z", 60 * S, 2 * S)
+        self.gate.heard(Beat("i-1", "p", "ready", 100, 0, 1), self.clock.now())
+        own = Pool(loop, sockets, 0.25, 9.0, self.inside, judge=own_judge, slow=False)
+        peers = Pool(loop, sockets, 0.25, 9.0, self.inside, judge=judge, settle=0, slow=False)
+        self.claims: list[str] = []
+        self.entry = Entry(
+            loop,
+            self.clock,
+            own,
+            self.gate,
+            "me",
+            (LOCAL, upstream.port),
+            60 * S,
+            self._ask,
+            peers,
+            self._address_of,
+        )
+        table = Table()
+        self.way = WayOut(loop, self.clock, sockets, table, "p", self._address_of, random.Random(1), self.out)
+        doors = ((self.entry, self.inside), (self.way, self.out))
+        self.servers = [listener(loop, self.clock, [bind((LOCAL, 0))], one, sockets, b) for one, b in doors]
+        self.inbound, self.port = (server.start()[0] for server in self.servers)
+        rows: list[tuple[str, str, Any]] = [
+            ("route", name, [1, "h", {**_ROUTE, "Name": name, "PathPrefix": f"/{name}/", "SignalKind": kind}])
+            for name, kind in (("read", "idempotent"), ("buy", "effectful"), ("bid", "keyed"))
+        ]
+        instance = {"id": "i-1", "plant": "p", "zone": "z", "state": "ready", "capacity": 100}
+        self.way.changed(table.snapshot(1, [*rows, ("inst", LOCAL, instance)]))
+
+    def _address_of(self, machine: str) -> tuple[str, int]:
+        return LOCAL, self.inbound
+
+    def _ask(self, what: Any, done: Callable[[Any], None], within_s: float) -> None:
+        self.claims.append(what.key)
+        asyncio.get_running_loop().call_soon(done, {"ok": True})
+
+    async def caller(self) -> Caller:
+        return await Caller.to(self.port)
+
+    def held(self) -> int:
+        return self.way.held() + len(self.entry.visits)
+
+
+_ROUTE = {"Cutoff": "2s", "Setpoint": "1s", "Plant": "p", "MaxAttempts": 2, "Revision": "r1"}
+
+
+def ask(route: str, framing: bytes = b"Content-Length: 0\r\n", key: str = "", attempt: str = "t1") -> bytes:
+    """A request's head."""
+    lines = f"POST /{route}/x HTTP/1.1\r\nHost: h\r\nX-Brackengate-Attempt-Id: {attempt}\r\n"
+    lines += "X-Brackengate-Deadline-Ms: 2000\r\n"
+    lines += f"X-Brackengate-Operation-Key: {key}\r\n" if key else ""
+    return lines.encode() + framing + b"\r\n"
--- /dev/null
+++ b/tests/pilot/test_pieces.py
@@ -0,0 +1,298 @@
+"""Long bodies over both hops: whole, broken, slow and left, with nothing held behind them.
+
+caller         way out        gate           upstream
+  |--- request --->|------------>|--------------->|
+  |<-- head, first bytes: from here on there is no way back ---|
+  |<-- the rest, as fast as the slowest takes it --------------|
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import hashlib
+import os
+import socket
+from collections.abc import Callable
+
+import pytest
+from peers import Caller, chunk, reset, run
+from pilots import FORMS, Mesh, Upstream, answers, ask, body, head
+from test_bodies import BLOCK, Reader, received, send, until
+
+from brackengate.http import upstream as machine
+from brackengate.net import http as http_module
+
+KIB, MIB = 1 << 10, 1 << 20
+LONG = 20 * MIB
+
+
+def digest(size: int) -> bytes:
+    """Of what `pilots.body` writes."""
+    told = hashlib.sha256()
+    for at in range(0, size, 256 * KIB):
+        told.update(BLOCK[: min(size - at, 256 * KIB)])
+    return told.digest()
+
+
+def settled(mesh: Mesh) -> Callable[[], bool]:
+    return lambda: not (mesh.held() or mesh.out.taken or mesh.inside.taken)
+
+
+@pytest.mark.parametrize("form", list(FORMS))
+@pytest.mark.parametrize("route", ["read", "buy", "bid"])
+def test_an_answer_comes_back_as_it_was_whatever_its_length(route: str, form: str) -> None:
+    async def main() -> None:
+        for size in (64 * KIB, MIB, 3 * MIB // 2, LONG):
+            upstream = await Upstream(answers(size, form)).start()
+            mesh = Mesh(upstream)
+            caller = await mesh.caller()
+            caller.writer.write(ask(route, key="k" if route == "bid" else ""))
+            got = await received(caller)
+            assert (got.first[:12], got.size, got.digest.digest()) == ("HTTP/1.1 200", size, digest(size))
+            assert got.headers["x-brackengate-server-seal"] == "seal"
+            assert "x-brackengate-hop" not in got.headers
+            await until(settled(mesh))
+            assert max(mesh.out.most, mesh.inside.most) <= 2 * MIB
+            caller.writer.write(ask("read", attempt="t2"))  # the connection is still good
+            assert (await received(caller)).size == size
+
+    run(main())
+
+
+@pytest.mark.parametrize("form", ["length", "chunks"])
+@pytest.mark.parametrize("route", ["read", "bid"])
+def test_a_request_goes_up_as_it_was_and_nothing_of_it_is_held_afterwards(route: str, form: str) -> None:
+    async def main() -> None:
+        for size in (64 * KIB, MIB, 3 * MIB // 2, LONG):
+            upstream = await Upstream(answers(4)).start()
+            mesh = Mesh(upstream)
+            caller = await mesh.caller()
+            caller.writer.write(ask(route, FORMS[form](size), key="k" if route == "bid" else ""))
+            await body(caller.writer, size, form)
+            caller.writer.write(b"0\r\n\r\n" if form == "chunks" else b"")
+            assert (await caller.read())[0] == 200
+            (ran,) = upstream.ran
+            assert (ran.size, ran.digest.digest()) == (size, digest(size))
+            await until(settled(mesh))
+
+    run(main())
+
+
+@pytest.mark.parametrize("status", [201, 404])
+def test_a_long_answer_keeps_its_status(status: int) -> None:
+    async def main() -> None:
+        mesh = Mesh(await Upstream(answers(2 * MIB, status=status)).start())
+        caller = await mesh.caller()
+        caller.writer.write(ask("buy"))
+        got = await received(caller)
+        assert (got.first.split()[1], got.size) == (str(status), 2 * MIB)
+
+    run(main())
+
+
+@pytest.mark.parametrize("form", list(FORMS))
+@pytest.mark.parametrize("route", ["read", "bid"])
+def test_an_answer_that_breaks_in_its_middle_never_looks_whole_and_runs_once(route: str, form: str) -> None:
+    async def main() -> None:
+        async def act(upstream: Upstream, reader: Reader, writer: asyncio.StreamWriter) -> None:
+            upstream.ran.append(reader)
+            writer.write(head(reader, FORMS[form](LONG)))
+            await body(writer, 3 * MIB, form)
+            await on.wait()
+            reset(writer)
+
+        on = asyncio.Event()
+        upstream = await Upstream(act).start()
+        mesh = Mesh(upstream)
+        caller = await mesh.caller()
+        caller.writer.write(ask(route, key="k" if route == "bid" else ""))
+        got = Reader(caller.reader)
+        await got.head()
+        await got._take(1000)
+        on.set()
+        rest = b""
+        with contextlib.suppress(ConnectionResetError):
+            while data := await caller.reader.read(MIB):
+                rest += data
+        assert len(rest) < 4 * MIB and not rest.endswith(b"0\r\n\r\n")
+        await until(settled(mesh))
+        assert len(upstream.ran) == 1  # what has begun is not tried again
+
+    run(main())
+
+
+def test_a_long_answer_that_is_no_success_of_this_request_reaches_nobody() -> None:
+    async def main() -> None:
+        async def act(upstream: Upstream, reader: Reader, writer: asyncio.StreamWriter) -> None:
+            upstream.ran.append(reader)
+            told = head(reader, FORMS["length"](2 * MIB), seal=len(upstream.ran) > 1)
+            writer.write(told.replace(b"Attempt-Id: t1", b"Attempt-Id: t0"))
+            await body(writer, 2 * MIB, "length")
+
+        mesh = Mesh(await Upstream(act).start())
+        for number, said in enumerate((502, 502)):  # without a seal; another one's
+            caller = await mesh.caller()
+            caller.writer.write(ask("buy"))
+            assert ((await caller.read())[0], number) == (said, number)
+        await until(settled(mesh))
+
+    run(main())
+
+
+def test_callers_that_stop_reading_hold_their_upstreams_up_and_no_memory(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Forty answers of 20 MiB, of which nothing is taken; then one of them is."""
+    monkeypatch.setattr(http_module, "SEND_BUFFER", 16 * KIB)
+
+    async def main() -> None:
+        written = 0
+
+        async def act(upstream: Upstream, reader: Reader, writer: asyncio.StreamWriter) -> None:
+            nonlocal written
+            await reader.body()
+            writer.transport.set_write_buffer_limits(high=0)
+            writer.write(head(reader, FORMS["length"](LONG)))
+            for _ in range(LONG // (64 * KIB)):
+                writer.write(BLOCK[: 64 * KIB])
+                await writer.drain()
+                written += 64 * KIB
+
+        mesh = Mesh(await Upstream(act).start(), bytes_=4 * MIB)
+        callers = []
+        for number in range(40):
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16 * KIB)
+            sock.setblocking(False)
+            await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", mesh.port))
+            caller = Caller(*await asyncio.open_connection(sock=sock, limit=16 * KIB))
+            caller.writer.write(ask("read", attempt=f"t{number}"))
+            callers.append(caller)
+        before = -1
+        while before != written or mesh.held() < 80:  # until nothing moves for ten turns
+            before = written
+            for _ in range(10):
+                await asyncio.sleep(0)
+                await asyncio.to_thread(os.sched_yield)
+        assert mesh.held() == 80 and written < 40 * LONG // 2
+        assert mesh.out.most <= 40 * 96 * KIB + 4 * MIB and mesh.inside.most <= 40 * 96 * KIB + 4 * MIB
+        assert (await received(callers[0])).size == LONG
+        for caller in callers[1:]:
+            reset(caller.writer)
+        await until(settled(mesh))
+
+    run(main())
+
+
+@pytest.mark.parametrize("route", ["read", "bid"])
+def test_a_caller_that_leaves_lets_its_upstream_go(route: str) -> None:
+    async def main() -> None:
+        async def endless(upstream: Upstream, reader: Reader, writer: asyncio.StreamWriter) -> None:
+            writer.write(head(reader, FORMS["length"](60 * MIB)))
+            await body(writer, 60 * MIB, "length")
+
+        upstream = await Upstream(endless).start()
+        mesh = Mesh(upstream)
+        caller = await mesh.caller()
+        caller.writer.write(ask(route, key="k" if route == "bid" else ""))
+        await received(caller, most=100 * KIB)
+        reset(caller.writer)
+        await upstream.ended.get()
+        await until(settled(mesh))
+
+    run(main())
+
+
+@pytest.mark.parametrize("route", ["buy", "bid"])
+def test_a_request_that_is_left_in_its_middle_runs_nothing_and_frees_its_key(route: str) -> None:
+    async def main() -> None:
+        upstream = await Upstream(answers(4)).start()
+        mesh = Mesh(upstream)
+        key = "k" if route == "bid" else ""
+        caller = await mesh.caller()
+        caller.writer.write(ask(route, FORMS["length"](LONG), key=key))
+        await send(caller.writer, LONG // 2)
+        reset(caller.writer)
+        await upstream.ended.get()
+        await until(settled(mesh))
+        assert upstream.ran == []
+        again = await mesh.caller()
+        again.writer.write(ask(route, key=key, attempt="t2"))
+        assert (await again.read())[0] == 200
+
+    run(main())
+
+
+def test_a_request_takes_longer_than_its_time_where_its_body_does() -> None:
+    """The time counts from the body's last byte, on both hops: here the deadline passes before it."""
+
+    async def main() -> None:
+        upstream = await Upstream(answers(4)).start()
+        mesh = Mesh(upstream)
+        caller = await mesh.caller()
+        caller.writer.write(ask("bid", FORMS["length"](LONG), key="k").replace(b"Ms: 2000", b"Ms: 400"))
+        await send(caller.writer, LONG // 2)
+        at = mesh.clock.now()
+        await until(lambda: mesh.clock.now() - at > 600_000)
+        await send(caller.writer, LONG // 2)
+        assert (await caller.read())[0] == 200
+
+    run(main())
+
+
+def test_a_keyed_answer_is_kept_for_repeats_up_to_a_bound() -> None:
+    async def main() -> None:
+        for size, statuses in ((machine.MAX_ANSWER, [200, 200]), (machine.MAX_ANSWER + 1, [200, 503])):
+            upstream = await Upstream(answers(size)).start()
+            mesh = Mesh(upstream)
+            for number, status in enumerate(statuses):
+                caller = await mesh.caller()
+                caller.writer.write(ask("bid", key="k", attempt=f"t{number}"))
+                got = await received(caller)
+                assert got.first.split()[1] == str(status)
+                assert got.size == (size if status == 200 else 0)
+                if status == 200:
+                    assert got.headers["x-brackengate-attempt-id"] == f"t{number}"
+            assert len(upstream.ran) == 1
+
+    run(main())
+
+
+def test_a_long_repeat_gets_the_first_answer() -> None:
+    async def main() -> None:
+        upstream = await Upstream(answers(4)).start()
+        mesh = Mesh(upstream)
+        for attempt in ("t1", "t2"):
+            caller = await mesh.caller()
+            caller.writer.write(ask("bid", FORMS["length"](LONG), key="k", attempt=attempt))
+            await send(caller.writer, LONG)
+            status, fields, said = await caller.read()
+            assert (status, fields["x-brackengate-attempt-id"], said) == (200, attempt, BLOCK[:4])
+        await until(settled(mesh))
+        assert len(upstream.ran) == 1
+
+    run(main())
+
+
+def test_a_short_answer_that_comes_slowly_is_kept_whole_and_mended_by_another_attempt() -> None:
+    async def main() -> None:
+        async def act(upstream: Upstream, reader: Reader, writer: asyncio.StreamWriter) -> None:
+            upstream.ran.append(reader)
+            writer.write(head(reader, FORMS["chunks"](0)) + chunk(b"one"))
+            at = mesh.clock.now()
+            await until(lambda: mesh.clock.now() - at > machine.FIRST + 20_000)
+            writer.write(chunk(b"two"))
+            if len(upstream.ran) == 1:
+                await writer.drain()
+                reset(writer)
+            else:
+                writer.write(b"0\r\n\r\n")
+
+        upstream = await Upstream(act).start()
+        mesh = Mesh(upstream)
+        caller = await mesh.caller()
+        caller.writer.write(ask("read"))
+        assert (await caller.read())[::2] == (200, b"onetwo") and len(upstream.ran) == 2
+
+    run(main())
