--- a/brackengate/http/caller.py
+++ b/brackengate/http/caller.py
@@ -93,6 +93,7 @@
 @dataclass(slots=True)
 class Close:
     at_once: bool  # else after what was written
+    resets: bool = False  # its end must not look like an end in order
 
 
 @dataclass(slots=True)
@@ -147,6 +148,7 @@
         self._full_at = self._over_at = self._ends_at = 0
         self._body_at = self._paused_at = self._paused = 0  # for how fast a body comes
         self._chunked_out = self._close_after = False  # of a long answer
+        self._till_close = False  # the same: only the connection's end tells its end
 
     def _reset(self) -> None:
         self._target = b""
@@ -283,8 +285,9 @@
         """Ended from here, for want of room or in a drain."""
         out: list[Command] = []
         self._over_at = now
+        resets = self.state is Caller.ANSWERING and self._till_close
         self._close(out)
-        out.append(Close(at_once))
+        out.append(Close(at_once or resets, resets))
         return out
 
     # --- reading
@@ -570,7 +573,8 @@
             return []
         self._move(CallerMove.ANSWER_BEGINS)
         self._chunked_out = length is None and arrival.version != "1.0"
-        self._close_after = self._last(arrival, draining) or (length is None and not self._chunked_out)
+        self._till_close = length is None and not self._chunked_out
+        self._close_after = self._last(arrival, draining) or self._till_close
         head = first_line(status)
         if length is not None:
             head += b"Content-Length: %d\r\n" % length
--- a/brackengate/net/http.py
+++ b/brackengate/net/http.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Callable, Collection, Mapping
 from functools import partial
 from typing import Protocol, cast
@@ -22,6 +23,7 @@
     128 << 10
 )  # the kernel's, for a long answer: else seconds pass before a slow reader is seen to read
 OUT_AHEAD = 32 << 10  # of a long answer, what may wait here for its caller
+RESETS = struct.pack("ii", 1, 0)
 ANY = b"*"  # the front of every path that has none of its own
 
 
@@ -205,6 +207,8 @@
         elif transport is None:
             return  # what is left is for a connection that has been made
         elif isinstance(command, machine.Close):
+            if command.resets and self.sock is not None:
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESETS)
             (transport.abort if command.at_once else transport.close)()
         elif not transport.is_closing():
             if isinstance(command, machine.Read):
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -18,6 +18,7 @@
 
 ROOT = Path(__file__).parent.parent
 SECONDS_TO_START = 15.0
+LONG = 20 << 20
 
 
 @dataclass(frozen=True)
@@ -94,7 +95,10 @@
 
 @dataclass(eq=False)
 class Upstream:
-    """Answers with its id's seal after `work_s`; counts what it ran, by attempt id and by key."""
+    """Answers with its id's seal after `work_s`; counts what it ran, by attempt id and by key.
+
+    A target that ends with `/long` gets `LONG` bytes.
+    """
 
     machine: Machine
     ports: Ports
@@ -128,12 +132,14 @@
                 attempt = fields.get("x-brackengate-attempt-id", "")
                 self.ran.append((attempt, fields.get("x-brackengate-operation-key", "")))
                 await asyncio.sleep(self.work_s)
-                body = f"{self.id} {attempt}".encode()
+                long = head[0].split(" ")[1].endswith("/long")
+                body = bytes(LONG) if long else f"{self.id} {attempt}".encode()
                 writer.write(
                     b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\nX-Brackengate-Server-Seal: %s\r\n"
                     b"X-Brackengate-Attempt-Id: %s\r\n\r\n%s"
                     % (len(body), self.id.encode(), attempt.encode(), body)
                 )
+                await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass  # the caller left, or the whole ends
         finally:
--- a/tests/pilot/test_pieces.py
+++ b/tests/pilot/test_pieces.py
@@ -122,6 +122,31 @@
     run(main())
 
 
+def test_a_caller_of_the_old_version_sees_a_break_as_one() -> None:
+    """It gets no chunks: the connection's end alone tells the body's, and here it is a reset."""
+
+    async def main() -> None:
+        async def act(upstream: Upstream, reader: Reader, writer: asyncio.StreamWriter) -> None:
+            writer.write(head(reader, FORMS["chunks"](LONG)))
+            await body(writer, MIB, "chunks")
+            await on.wait()
+            reset(writer)
+
+        on = asyncio.Event()
+        mesh = Mesh(await Upstream(act).start())
+        caller = await mesh.caller()
+        caller.writer.write(ask("read").replace(b"HTTP/1.1", b"HTTP/1.0"))
+        got = Reader(caller.reader)
+        await got.head()
+        await got._take(1000)
+        on.set()
+        with pytest.raises(ConnectionResetError):
+            while await caller.reader.read(MIB):
+                pass
+
+    run(main())
+
+
 def test_a_long_answer_that_is_no_success_of_this_request_reaches_nobody() -> None:
     async def main() -> None:
         async def act(upstream: Upstream, reader: Reader, writer: asyncio.StreamWriter) -> None:
--- a/tests/pilot/test_processes.py
+++ b/tests/pilot/test_processes.py
@@ -8,7 +8,7 @@
 from collections import Counter
 from pathlib import Path
 
-from standins.mesh import Mesh
+from standins.mesh import LONG, Mesh
 
 FIRST_PORT = 19000 + (os.getpid() % 200) * 16  # each worker has its own
 
@@ -17,6 +17,39 @@
     return Counter(key for upstream in mesh.upstreams for _, key in upstream.ran if key.startswith(prefix))
 
 
+def test_an_end_in_order_lets_a_long_answer_go_on_and_held_up_ones_fill_no_memory(tmp_path: Path) -> None:
+    """Forty answers of 20 MiB are held up by their clients; both pilots have to leave, and one is taken."""
+
+    async def play() -> None:
+        mesh = Mesh(tmp_path, lighthouses=2, pilots=2, first_port=FIRST_PORT)
+        try:
+            await mesh.start()
+            side, writers = mesh.sides[0], []
+            before = max(one.memory_mb() for one in mesh.sides)
+            for n in range(40):
+                reader, writer = await asyncio.open_connection(side.ip, mesh.ports.outbound, limit=1 << 16)
+                lines = f"X-Brackengate-Attempt-Id: l{n}", "X-Brackengate-Deadline-Ms: 2000", "", ""
+                writer.write("\r\n".join(["GET /read/long HTTP/1.1", "Host: h.example", *lines]).encode())
+                head = await reader.readuntil(b"\r\n\r\n")
+                assert head.startswith(b"HTTP/1.1 200") and b"Content-Length: %d\r\n" % LONG in head
+                writers.append((reader, writer))
+            assert max(one.memory_mb() for one in mesh.sides) - before < 30  # MB
+            for one in mesh.sides:
+                assert one.process is not None
+                one.process.send_signal(signal.SIGTERM)
+            reader, _ = writers[0]
+            assert len(await reader.readexactly(LONG)) == LONG
+            for _, writer in writers:
+                writer.transport.abort()
+            for one in mesh.sides:
+                assert one.process is not None
+                assert await asyncio.to_thread(one.process.wait, 10) == 0
+        finally:
+            await mesh.stop()
+
+    asyncio.run(asyncio.wait_for(play(), 60))
+
+
 def test_keys_run_once_and_an_end_in_order_loses_nothing(tmp_path: Path) -> None:
     async def bids(mesh: Mesh, prefix: str, count: int) -> list[tuple[int, bytes]]:
         """Each key at two pilots at once, again until both have the answer."""
