--- a/tests/pilot/pilots.py
+++ b/tests/pilot/pilots.py
@@ -101,7 +101,7 @@
         self.gate.heard(Beat("i-1", "p", "ready", 100, 0, 1), self.clock.now())
         own = Pool(loop, sockets, 0.25, 9.0, self.inside, judge=own_judge, slow=False)
         peers = Pool(loop, sockets, 0.25, 9.0, self.inside, judge=judge, settle=0, slow=False)
-        self.claims: list[str] = []
+        self.holder: Mesh | None = None  # whose gate has all keys
         self.entry = Entry(
             loop,
             self.clock,
@@ -127,11 +127,11 @@
         self.way.changed(table.snapshot(1, [*rows, ("inst", LOCAL, instance)]))
 
     def _address_of(self, machine: str) -> tuple[str, int]:
-        return LOCAL, self.inbound
+        return LOCAL, self.holder.inbound if self.holder and machine == "other" else self.inbound
 
     def _ask(self, what: Any, done: Callable[[Any], None], within_s: float) -> None:
-        self.claims.append(what.key)
-        asyncio.get_running_loop().call_soon(done, {"ok": True})
+        said = {"gate": "other"} if self.holder else {"ok": True}
+        asyncio.get_running_loop().call_soon(done, said)
 
     async def caller(self) -> Caller:
         return await Caller.to(self.port)
--- a/tests/pilot/test_entry.py
+++ b/tests/pilot/test_entry.py
@@ -12,6 +12,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
+from brackengate.http.body import AnswerStream
 from brackengate.http.message import Arrival
 from brackengate.http.upstream import Answered
 from brackengate.interface import Outcome
@@ -23,6 +24,7 @@
 from brackengate.signals.words import Claim, Unclaim
 
 S = 1_000_000
+SEAL = b"x-brackengate-server-seal"
 
 
 class Clock:
@@ -66,6 +68,8 @@
 class Job:
     payload: bytes
     done: Callable[[Result], None]
+    begun: Any = None
+    written: bool = True
     given_up: Outcome | None = None
 
     def give_up(self, outcome: Outcome) -> None:
@@ -79,8 +83,8 @@
         self.wanted: dict[str, Any] = {}
         self.jobs: list[Job] = []
 
-    def start(self, name: str, address: Any, payload: bytes, done: Any, **_: Any) -> Job:
-        self.jobs.append(Job(payload, done))
+    def start(self, name: str, address: Any, payload: bytes, done: Any, begun: Any, **_: Any) -> Job:
+        self.jobs.append(Job(payload, done, begun))
         return self.jobs[-1]
 
 
@@ -88,6 +92,7 @@
 class Connection:
     reply: Reply | None = None
     gone: Callable[[], None] = field(default=lambda: None)
+    sink: Any = None  # of a long answer
 
     def hold(self, gone: Callable[[], None]) -> None:
         self.gone = gone
@@ -95,6 +100,8 @@
     def answer(self, reply: Reply) -> None:
         assert self.reply is None, "answered twice"
         self.reply = reply
+        if reply.stream is not None:
+            reply.stream.sink = self.sink
 
     @property
     def said(self) -> str:
@@ -104,6 +111,17 @@
         return next(line.partition(b": ")[2].decode() for line in lines if line.startswith(HOP))
 
 
+@dataclass
+class Sink:
+    ends: list[str] = field(default_factory=list)
+
+    def finish(self) -> None:
+        self.ends.append("finish")
+
+    def cut(self) -> None:
+        self.ends.append("cut")
+
+
 class World:
     def __init__(self) -> None:
         self.clock = Clock()
@@ -237,6 +255,41 @@
         )
 
 
+class LongAnswers(TestCase):
+    """One that has begun is not bound by the deadline, counts as held until its end, and is not kept."""
+
+    def begun(self) -> tuple[World, Connection, Sink]:
+        world = World()
+        connection = world.comes("k")
+        connection.sink = Sink()
+        world.core(OK)
+        head = Answered(200, {SEAL: b"seal"}, b"first", False, [(SEAL, b"seal")])
+        sink = world.own.jobs[0].begun(head, AnswerStream(1 << 21, lambda on: None, lambda: None))
+        assert sink is connection.sink
+        return world, connection, sink
+
+    def test_it_goes_on_past_the_deadline_and_its_end_is_passed_on(self) -> None:
+        for outcome, ends in ((Outcome.OK, "finish"), (Outcome.RESET, "cut"), (Outcome.CANCELLED, "cut")):
+            world, connection, sink = self.begun()
+            repeat = world.comes("k", attempt="t2")
+            world.loop.run(60.0)
+            self.assertThat([connection.said, repeat.said, sink.ends], Equals(["ran", "unknown", []]))
+            self.assertThat([world.own.jobs[0].given_up, len(world.entry.visits)], Equals([None, 1]))
+            world.own.jobs[0].done(Result(outcome))
+            self.assertThat([sink.ends, len(world.entry.visits)], Equals([[ends], 0]))
+
+    def test_one_that_nobody_awaits_any_more_is_not_taken(self) -> None:
+        world = World()
+        connection = world.comes("k")
+        world.core(OK)
+        connection.gone()
+        head = Answered(200, {SEAL: b"seal"}, b"first", False, [(SEAL, b"seal")])
+        stream = AnswerStream(1 << 21, lambda on: None, lambda: None)
+        self.assertThat(world.own.jobs[0].begun(head, stream), Equals(None))
+        world.own.jobs[0].done(Result(Outcome.ERROR))
+        self.assertThat([world.comes("k").said, len(world.entry.visits)], Equals(["unknown", 0]))
+
+
 class Relays(TestCase):
     def relayed(self) -> tuple[World, Connection]:
         world = World()
--- a/tests/pilot/test_pieces.py
+++ b/tests/pilot/test_pieces.py
@@ -285,6 +285,27 @@
     run(main())
 
 
+def test_a_repeat_at_another_gate_gets_the_first_answer_in_pieces() -> None:
+    """Its long body goes on to the gate that holds the key; the kept answer comes back over three hops."""
+
+    async def main() -> None:
+        upstream, other = await Upstream(answers(MIB)).start(), await Upstream(answers(4)).start()
+        first, second = Mesh(upstream), Mesh(other)
+        second.holder = first
+        for number, mesh in enumerate((first, second)):
+            caller = await mesh.caller()
+            caller.writer.write(ask("bid", FORMS["length"](3 * MIB), key="k", attempt=f"t{number}"))
+            await send(caller.writer, 3 * MIB)
+            got = await received(caller)
+            assert (got.first.split()[1], got.size, got.digest.digest()) == ("200", MIB, digest(MIB))
+            assert got.headers["x-brackengate-attempt-id"] == f"t{number}"
+        assert (len(upstream.ran), other.ran) == (1, [])
+        await until(settled(first))
+        await until(settled(second))
+
+    run(main())
+
+
 def test_a_long_repeat_gets_the_first_answer() -> None:
     async def main() -> None:
         upstream = await Upstream(answers(4)).start()
