--- a/tests/pilot/test_entry.py
+++ b/tests/pilot/test_entry.py
@@ -12,7 +12,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from brackengate.http.body import AnswerStream
+from brackengate.http.body import AnswerStream, Body, ByteBudget
 from brackengate.http.message import Arrival
 from brackengate.http.upstream import Answered
 from brackengate.interface import Outcome
@@ -147,7 +147,15 @@
             lambda machine: (machine, 2),
         )
 
-    def comes(self, key: str = "", replay: bool = False, left: int = 1000, attempt: str = "t1") -> Connection:
+    def comes(
+        self,
+        key: str = "",
+        replay: bool = False,
+        left: int = 1000,
+        attempt: str = "t1",
+        method: bytes = b"POST",
+        stream: Body | None = None,
+    ) -> Connection:
         step = Step("i-1", bool(key), replay=replay, aim_ms=left, route="r")
         headers = [
             (b"X-Brackengate-Attempt-Id", attempt.encode()),
@@ -157,7 +165,7 @@
         name, _, value = step.lines().strip().partition(b": ")
         headers.append((name, value))
         fields = {name.lower(): value for name, value in headers}
-        arrival = Arrival(b"POST", b"/a/", headers, b"x", True, self.clock.at, fields=fields)
+        arrival = Arrival(method, b"/a/", headers, b"x", True, self.clock.at, stream, fields=fields)
         connection = Connection()
         self.entry.begin(arrival, connection)  # type: ignore[arg-type]
         return connection
@@ -278,6 +286,11 @@
             world.own.jobs[0].done(Result(outcome))
             self.assertThat([sink.ends, len(world.entry.visits)], Equals([[ends], 0]))
 
+    def test_what_tells_a_length_and_has_no_body_is_not_passed_on(self) -> None:
+        world = World()
+        world.comes(method=b"HEAD")
+        self.assertThat(world.own.jobs[0].begun, Equals(None))
+
     def test_one_that_nobody_awaits_any_more_is_not_taken(self) -> None:
         world = World()
         connection = world.comes("k")
@@ -290,6 +303,23 @@
         self.assertThat([world.comes("k").said, len(world.entry.visits)], Equals(["unknown", 0]))
 
 
+class LongRequests(TestCase):
+    def test_their_time_counts_from_their_bodys_end(self) -> None:
+        for key, lost in (("", Outcome.CANCELLED), ("k", Outcome.TIMEOUT)):
+            world, stream = World(), Body(ByteBudget(1 << 20), None, lambda: None)
+            connection = world.comes(key, stream=stream)
+            if key:
+                world.core(OK)
+            world.loop.run(30.0)
+            stream.end()
+            world.loop.run(0.9)
+            self.assertThat([connection.said, world.own.jobs[0].given_up], Equals(["nothing", None]))
+            world.loop.run(0.2)
+            self.assertThat(connection.said, Equals("late"))
+            world.loop.run(2.0)  # an operation goes on a while
+            self.assertThat(world.own.jobs[0].given_up, Equals(lost))
+
+
 class Relays(TestCase):
     def relayed(self) -> tuple[World, Connection]:
         world = World()
