Find a damaged lighthouse file at the start, and begin a new life in its place

Need: the file had a form and nothing that shows damage. sqlite reads a flipped byte in a value as it stands, and leaves out its log behind a broken place without a word: a claim or a promise could be gone and the member still vote.

Weighed: a checksum column a row (sees no row that is missing); a row sum and a meta sum as rows of their own (two statements more a commit); reading the log's frames at the start (must tell a torn commit from a lost one, and a log that was taken away whole is not seen; calling a missing log damage would condemn every file that sqlite has closed in order). Chosen: all of meta in one sealed value with the number of commits and the sum of all rows, and that number told to a small file beside it after each commit, unsynced, so never ahead of the file.

A damaged file is named in the log with what was found, put aside under one other name (its bytes go where the disk is full), and the member goes on with a new life: no view, no vote, no first start. Each step lasts before the next. A full or slow disk is tried again as before. Form 1 is taken over at the start. A write that sqlite calls malformed ends the process: the next start mends it.

--- a/brackengate/lighthouse/role.py
+++ b/brackengate/lighthouse/role.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import logging
-import os
 import signal
 import sqlite3
 import time
@@ -17,7 +16,7 @@
 from brackengate.lighthouse.actions import Action, Answer, Publish, Restart, Store, Tell
 from brackengate.lighthouse.control import Control
 from brackengate.lighthouse.member import FIRST, Kept, Member
-from brackengate.lighthouse.store import BadDisk, Disk
+from brackengate.lighthouse.store import Damaged, Disk, damaged, open_disk
 from brackengate.net.node import Clock
 from brackengate.net.sockets import Address, bind
 from brackengate.signals.door import listener
@@ -114,21 +113,18 @@
         finally:
             server.close()
 
-    def _stop(self) -> None:
+    def _stop(self, code: int = 0) -> None:
         if not self._left.done():
-            self._left.set_result(0)
+            self._left.set_result(code)
 
     async def _open_disk(self) -> Kept:
-        settings = self.settings
-        inc = FIRST if settings.initial_start else os.urandom(6).hex()
-        folder = settings.data_dir or "."
+        folder, first = self.settings.data_dir, self.settings.initial_start
         while True:
             try:
-                self._disk = await self._loop.run_in_executor(self._threads, Disk, folder)
-                return await self._loop.run_in_executor(self._threads, self._disk.read, inc)
-            except BadDisk:
-                raise
-            except (OSError, sqlite3.Error) as error:
+                opened = await self._loop.run_in_executor(self._threads, open_disk, folder, first)
+                self._disk, kept = opened
+                return kept
+            except (OSError, sqlite3.Error, Damaged) as error:
                 log.error("store: step open, folder %s: %s; tried again", folder, error)
                 await asyncio.sleep(RETRY_S)
 
@@ -182,6 +178,10 @@
 
     def _written(self, batch: list[Store], done: asyncio.Future[None]) -> None:
         error = done.exception()
+        if damaged(error):
+            log.error("store: step write: %s; this ends here, and the next start begins a new life", error)
+            self._stop(1)
+            return
         if error is not None:
             if not self._failed:
                 log.error("store: step write: %s; the seat is given up until it succeeds", error)
--- a/brackengate/lighthouse/store.py
+++ b/brackengate/lighthouse/store.py
@@ -1,17 +1,32 @@
-"""What a lighthouse keeps on disk: one sqlite file, synced at each commit.
+"""What a lighthouse keeps on disk: one sqlite file, synced at each commit, and what shows that it is sound.
 
 `locking_mode=EXCLUSIVE` keeps the index of the write-ahead log in memory: no shared mapping, and locks are
 of no use on a disk that only one process has.  A commit is synced as a whole (`synchronous=FULL`); what a
 loss of power tears behind the last sync is found by the log's own checksums and left out.
+
+Form 2 has all of `meta` in one value, `state`, behind its checksum; form 1 had a row for each.  With each
+commit it says the number of commits and the sum of all rows (`tally`).  sqlite leaves out all of its log
+behind a broken place without a word, so the number of commits is also told to a small file beside it, after
+each commit and without a sync: it may be behind the file after a loss of power, never ahead of it.
+
+A file that holds less than that, or whose sums do not hold, or that sqlite can't read, is damaged: nothing
+in it is believed, and the machine goes on as one whose disk was lost, which costs it its vote until the
+others have let it in anew.  A file gets its name when it is whole (`lighthouse.new` is renamed), so one that
+is empty is damaged and not new.  A damaged one is kept under another name, until the next one or until its
+room is needed; that name alone says that this is no first start.
 """
 
 from __future__ import annotations
 
+import contextlib
+import errno
+import logging
 import os
 import sqlite3
 from collections.abc import Iterable
 from pathlib import Path
 from typing import Any
+from zlib import crc32
 
 import msgspec
 
@@ -20,88 +35,292 @@
 from brackengate.lighthouse.view import NOBODY
 from brackengate.signals.words import Ballot, View
 
-FORM = 1
+log = logging.getLogger("brackengate.lighthouse.store")
 
+FORM = 2
+NAME = "lighthouse.db"
+ASIDE = f"{NAME}.damaged"
+TALLY = "lighthouse.tally"
+NO_SOUND_FILE = (sqlite3.SQLITE_CORRUPT, sqlite3.SQLITE_NOTADB)
 
-class BadDisk(Exception):
-    """The file can't be used: damaged, or of a newer form."""
 
+class NewerForm(Exception):
+    """The file was written by a newer program."""
 
-class Disk:
-    def __init__(self, folder: str) -> None:
-        """OSError or sqlite3.Error where the folder takes no file; BadDisk where the file is of no use."""
-        os.makedirs(folder, exist_ok=True)
-        self.path = Path(folder) / "lighthouse.db"
-        self._db = sqlite3.connect(self.path, isolation_level=None, check_same_thread=False)
-        run = self._db.execute
-        run("PRAGMA locking_mode=EXCLUSIVE")
-        run("PRAGMA journal_mode=WAL")
-        run("PRAGMA synchronous=FULL")
-        run("CREATE TABLE IF NOT EXISTS meta (name TEXT PRIMARY KEY, value BLOB) WITHOUT ROWID")
+
+class Damaged(Exception):
+    """What was found in the file."""
+
+
+def damaged(error: BaseException | None) -> bool:
+    """Whether sqlite says that the file itself is broken, and not that the disk is full or slow."""
+    return getattr(error, "sqlite_errorcode", 0) & 0xFF in NO_SOUND_FILE
+
+
+def _full(error: Exception) -> bool:
+    if isinstance(error, OSError):
+        return error.errno in (errno.ENOSPC, errno.EDQUOT)
+    return getattr(error, "sqlite_errorcode", 0) & 0xFF == sqlite3.SQLITE_FULL
+
+
+def open_disk(folder: str, first: bool) -> tuple[Disk, Kept]:
+    """The folder's file and all that is there; a new one where there is none or it is damaged.
+
+    `first`: the system's very first start, which a folder that ever held a file has behind it.
+    OSError or sqlite3.Error where the disk is in trouble, Damaged where it spoils even a new file: worth
+    another try.  NewerForm: it is not.
+    """
+    os.makedirs(folder, exist_ok=True)
+    path = Path(folder) / NAME
+    disk: Disk | None = None
+    try:
+        if not path.exists():
+            began = any(path.parent.glob(f"{NAME}*"))
+            _begin(path, _life(first and not began))
+        try:
+            _check_head(path)
+            disk = Disk(path)
+            return disk, _checked(disk, first)
+        except Damaged as what:
+            log.error(
+                "store: step open, file %s: damaged: %s; kept as %s, and a new life begins without a vote",
+                path, what, ASIDE,
+            )  # fmt: skip
+        _put_aside(path)
+        if disk is not None:
+            disk.close()  # not before: it would merge its log; not later: it would remove the new one's
+        _begin(path, _life(False))
+        disk = Disk(path)
+        return disk, _checked(disk, False)
+    except (OSError, sqlite3.Error, Damaged, NewerForm) as error:
+        if disk is not None:
+            disk.close()
+        if _full(error):
+            _make_room(path)
+        raise
+
+
+def _life(first: bool) -> str:
+    return FIRST if first else os.urandom(6).hex()
+
+
+def _begin(path: Path, inc: str) -> None:
+    """A whole new file under its name; nothing of one before it is left beside it."""
+    new = path.with_name("lighthouse.new")
+    beside = (f"{NAME}-*", f"{new.name}*", TALLY)
+    for left in [file for pattern in beside for file in path.parent.glob(pattern)]:
+        left.unlink()
+    _sync_folder(path.parent)
+    disk = Disk(new)
+    try:
+        disk.settle("DELETE")
+        run = disk.db.execute
+        run("CREATE TABLE meta (name TEXT PRIMARY KEY, value BLOB) WITHOUT ROWID")
         run(
-            "CREATE TABLE IF NOT EXISTS rows (kind TEXT, name TEXT, place INTEGER, value BLOB,"
+            "CREATE TABLE rows (kind TEXT, name TEXT, place INTEGER, value BLOB,"
             " PRIMARY KEY (kind, name)) WITHOUT ROWID"
         )
-        form = self._meta("form", int)
-        if form is not None and form > FORM:
-            raise BadDisk(f"{self.path}: written by a newer program (form {form}, this one reads {FORM})")
-        self._sync_folder(folder)
-
-    def read(self, inc: str) -> Kept:
-        """All that is there; `inc`: the life that a new disk begins."""
-        held = self._meta("inc", str)
-        if held is None or (held == FIRST != inc and self._meta("view", View) is None):  # it never began
-            meta = {"form": FORM, "inc": inc}
-            self.write([Store(meta)])
-            held = inc
-        rows = self._db.execute("SELECT kind, name, place, value FROM rows").fetchall()
-        decode = msgspec.json.decode
-        return Kept(
-            held,
-            self._meta("place", int) or 0,
-            self._meta("lineage", int) or 0,
-            self._meta("view", View),
-            self._meta("promised", Ballot) or NOBODY,
-            self._meta("taken_at", Ballot),
-            self._meta("taken", View),
-            [(kind, name, place, decode(value)) for kind, name, place, value in rows],
+        disk.write([Store({"form": FORM, "inc": inc})])
+    finally:
+        disk.close()
+    os.replace(new, path)
+    _sync_folder(path.parent)
+
+
+def _checked(disk: Disk, first: bool) -> Kept:
+    try:
+        disk.settle("WAL")
+        kept = disk.read()
+    except sqlite3.Error as error:
+        # SQLITE_ERROR: no such table, or a file format that this sqlite does not know.
+        if damaged(error) or getattr(error, "sqlite_errorcode", 0) == sqlite3.SQLITE_ERROR:
+            raise Damaged(str(error)) from None
+        raise
+    except (TypeError, ValueError) as error:  # what should be text or JSON is not
+        raise Damaged(f"a value that can't be read: {error}") from None
+    if kept.inc == FIRST and not first and kept.view is None:  # it never took its seat
+        kept.inc = _life(False)
+        disk.write([Store({"inc": kept.inc})])
+    return kept
+
+
+class Disk:
+    """One open file."""
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        self._meta: dict[str, msgspec.Raw] = {}  # as on disk
+        self._form = 0  # of what is on disk; 0: nothing
+        self._count = self._sum = 0  # commits, and the sum of all rows, on disk
+        self._told: int | None = None  # the small file, open
+        self.db = sqlite3.connect(path, isolation_level=None, check_same_thread=False)
+        self.db.text_factory = bytes  # text of a damaged file may be no UTF-8
+
+    def settle(self, journal: str) -> None:
+        for pragma in ("locking_mode=EXCLUSIVE", f"journal_mode={journal}", "synchronous=FULL"):
+            self.db.execute(f"PRAGMA {pragma}")
+
+    def read(self) -> Kept:
+        """All that is there, checked; one of the form before is of this form from here on."""
+        meta = {name: value for name, value in self.db.execute("SELECT name, value FROM meta")}
+        if b"form" not in meta:
+            raise Damaged("it does not say its form")
+        self._form = msgspec.json.decode(meta.pop(b"form"), type=int)
+        if self._form > FORM:
+            raise NewerForm(
+                f"{self.path}: written by a newer program (form {self._form}, this one reads {FORM})"
+            )
+        if self._form == FORM:
+            total, text = meta.get(b"state", b"")[:8], meta.get(b"state", b"")[8:]
+            if total != b"%08x" % crc32(text):
+                raise Damaged("the sum over meta does not hold")
+            self._meta = msgspec.json.decode(text, type=dict[str, msgspec.Raw])
+        else:
+            self._meta = {name.decode(): msgspec.Raw(value) for name, value in meta.items()}
+        inc: str | None = self._get("inc", str)
+        if inc is None:
+            raise Damaged("it does not say its life")
+        self._count, held_sum = self._get("tally", tuple[int, int]) or (0, 0)
+        lost = self._last_told(inc) - self._count
+        if lost > 0:
+            raise Damaged(f"commits that were on the disk are gone from its end: {lost}")
+        rows: list[tuple[str, str, int, Any]] = []
+        for kind, name, place, value in self.db.execute("SELECT kind, name, place, value FROM rows"):
+            self._sum += _sum_of(kind, name, place, value)
+            rows.append((kind.decode(), name.decode(), place, msgspec.json.decode(value)))
+        if self._form == FORM and held_sum != self._sum:
+            raise Damaged(f"the sum over its {len(rows)} rows does not hold")
+        for (found,) in self.db.execute("PRAGMA quick_check(1)"):
+            if found != b"ok":
+                raise Damaged(found.decode(errors="replace"))
+        kept = Kept(
+            inc,
+            self._get("place", int) or 0,
+            self._get("lineage", int) or 0,
+            self._get("view", View),
+            self._get("promised", Ballot) or NOBODY,
+            self._get("taken_at", Ballot),
+            self._get("taken", View),
+            rows,
         )
+        if self._form < FORM:
+            self.write([])
+        return kept
+
+    def _get(self, name: str, kind: Any) -> Any:
+        value = self._meta.get(name)
+        return msgspec.json.decode(value, type=kind | None) if value is not None else None
 
     def write(self, stores: Iterable[Store]) -> None:
         """All of it or nothing, and on the disk when this returns; sqlite3.Error where it can't be."""
-        run, encode = self._db.execute, msgspec.json.encode
+        run, encode = self.db.execute, msgspec.json.encode
+        meta, total = self._meta.copy(), self._sum
         run("BEGIN IMMEDIATE")
         try:
+            if self._form < FORM:
+                run("DELETE FROM meta")
+                run("INSERT INTO meta VALUES ('form', ?)", (encode(FORM),))
             for store in stores:
                 if store.forget:
                     run("DELETE FROM rows")
-                for name, value in store.meta.items():
-                    run("INSERT OR REPLACE INTO meta VALUES (?, ?)", (name, encode(value)))
+                    total = 0
+                for name, meant in store.meta.items():
+                    meta[name] = msgspec.Raw(encode(meant))
                 for place, (kind, name, value) in store.rows:
+                    held = run("SELECT place, value FROM rows WHERE kind = ? AND name = ?", (kind, name))
+                    for old in held.fetchall():
+                        total -= _sum_of(kind.encode(), name.encode(), *old)
                     if kind == "key" and value is None:
                         run("DELETE FROM rows WHERE kind = ? AND name = ?", (kind, name))
-                    else:
-                        run(
-                            "INSERT OR REPLACE INTO rows VALUES (?, ?, ?, ?)",
-                            (kind, name, place, encode(value)),
-                        )
+                        continue
+                    new = encode(value)
+                    total += _sum_of(kind.encode(), name.encode(), place, new)
+                    run("INSERT OR REPLACE INTO rows VALUES (?, ?, ?, ?)", (kind, name, place, new))
+            meta["tally"] = msgspec.Raw(encode((self._count + 1, total)))
+            text = encode(meta)
+            run("INSERT OR REPLACE INTO meta VALUES ('state', ?)", (b"%08x%b" % (crc32(text), text),))
             run("COMMIT")
-        except BaseException:
-            if self._db.in_transaction:
+        except BaseException as error:
+            if self.db.in_transaction:
                 run("ROLLBACK")
+            if isinstance(error, sqlite3.Error) and _full(error):
+                _make_room(self.path)
             raise
+        self._meta, self._form = meta, FORM
+        self._count, self._sum = self._count + 1, total
+        self._tell()
+
+    # --- the number of commits, told apart
+
+    def _last_told(self, inc: str) -> int:
+        """0 where nothing was told, or not of this file's life."""
+        try:
+            data = self.path.with_name(TALLY).read_bytes()
+        except FileNotFoundError:
+            return 0
+        total, text = data[:8], data[8:].rstrip(b"\0")
+        if total != b"%08x" % crc32(text):
+            return 0  # torn by a loss of power
+        told: tuple[str, int] = msgspec.json.decode(text, type=tuple[str, int])
+        return told[1] if told[0] == inc else 0
+
+    def _tell(self) -> None:
+        """Where the disk does not take it there is one witness less, and nothing else."""
+        text = msgspec.json.encode((self._meta["inc"], self._count))
+        with contextlib.suppress(OSError):
+            if self._told is None:
+                self._told = os.open(self.path.with_name(TALLY), os.O_RDWR | os.O_CREAT, 0o644)
+            os.pwrite(self._told, (b"%08x%b" % (crc32(text), text)).ljust(64, b"\0"), 0)
 
     def close(self) -> None:
-        self._db.close()
+        self.db.close()
+        if self._told is not None:
+            os.close(self._told)
 
-    def _meta(self, name: str, kind: Any) -> Any:
-        found = self._db.execute("SELECT value FROM meta WHERE name = ?", (name,)).fetchone()
-        return msgspec.json.decode(found[0], type=kind | None) if found is not None else None
 
-    def _sync_folder(self, folder: str) -> None:
-        """Guards against a loss of power that takes the new files' names."""
-        handle = os.open(folder, os.O_RDONLY)
-        try:
-            os.fsync(handle)
-        finally:
-            os.close(handle)
+def _sum_of(kind: bytes, name: bytes, place: int, value: bytes) -> int:
+    return crc32(value, crc32(b"%b\0%b\0%d\0" % (kind, name, place)))
+
+
+def _check_head(path: Path) -> None:
+    """sqlite would take an empty file for a new one, and not write to one that names another version."""
+    with path.open("rb") as file:
+        head = file.read(20)
+    if not head:
+        raise Damaged("it is empty")
+    if head[:16] != b"SQLite format 3\0" or head[18:] not in (b"\1\1", b"\2\2"):
+        raise Damaged("it does not begin as a file of sqlite")
+
+
+# --- the folder
+
+
+def _put_aside(path: Path) -> None:
+    """In steps that each last, so that no half of the damaged pair is ever met under its old name with a new
+    other half."""
+    folder = path.parent
+    os.replace(path, folder / ASIDE)
+    _sync_folder(folder)
+    wal, kept = folder / f"{NAME}-wal", folder / f"{ASIDE}-wal"
+    kept.unlink(missing_ok=True)
+    if wal.exists():
+        os.replace(wal, kept)
+    _sync_folder(folder)
+
+
+def _make_room(path: Path) -> None:
+    """On a full disk what was put aside gives up its bytes; its name stays."""
+    for kept in (path.with_name(ASIDE), path.with_name(f"{ASIDE}-wal")):
+        with contextlib.suppress(OSError):
+            if kept.stat().st_size:
+                os.truncate(kept, 0)
+                log.warning("store: the disk is full: %s is given up", kept)
+
+
+def _sync_folder(folder: Path) -> None:
+    """Guards against a loss of power that takes new names, or brings back old ones."""
+    handle = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(handle)
+    finally:
+        os.close(handle)
--- a/brackengate/mesh.py
+++ b/brackengate/mesh.py
@@ -1,6 +1,7 @@
 """The two roles of the mesh as commands: `brackengate pilot` and `brackengate lighthouse`.
 
-Exit codes: 0 stopped in order; 1 an address could not be had; 2 bad settings or usage.
+Exit codes: 0 stopped in order; 1 an address could not be had, or the disk's file broke while in use;
+2 bad settings or usage, or the disk's file is of a newer program.
 """
 
 from __future__ import annotations
@@ -58,10 +59,11 @@
     raise SystemExit(code)
 
 
-def _run(work: Coroutine[Any, Any, int]) -> NoReturn:
+def _run(work: Coroutine[Any, Any, int], refusals: tuple[type[Exception], ...] = (BadSettings,)) -> NoReturn:
+    """`refusals`: errors of this role that say in a sentence why it can't run as it was told to."""
     try:
         code = uvloop.run(work)
-    except BadSettings as error:
+    except refusals as error:
         _fail(str(error), 2)
     except OSError as error:
         _fail(f"an address could not be had: {error}", 1)
@@ -95,8 +97,9 @@
         click.echo(f"{path}: sound for a lighthouse")
         return
     from brackengate.lighthouse.role import serve
+    from brackengate.lighthouse.store import NewerForm
 
-    _run(serve(settings))
+    _run(serve(settings), (BadSettings, NewerForm))
 
 
 if __name__ == "__main__":
--- a/tests/lighthouse/corekit.py
+++ b/tests/lighthouse/corekit.py
@@ -9,14 +9,17 @@
 
 import heapq
 import random
+import shutil
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any
 
 import msgspec
 
 from brackengate.lighthouse.actions import Action, Answer, Publish, Restart, Store, Tell
 from brackengate.lighthouse.member import FIRST, Kept, Member
+from brackengate.lighthouse.store import open_disk
 from brackengate.signals.words import Ask, Line
 
 TICK, NET, SYNC = 50_000, 900, 600
@@ -62,12 +65,47 @@
         )
 
 
+class FileState:
+    """A disk that is a real store.  What a process leaves is copied to a folder of the next one's."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder, self.lives = folder, 0
+
+    @property
+    def here(self) -> Path:
+        return self.folder / str(self.lives)
+
+    def open(self, first: bool) -> None:
+        left = self.here
+        self.lives += 1
+        if left.exists():
+            shutil.copytree(left, self.here)
+        self._disk, self._kept = open_disk(str(self.here), first)
+
+    def kept(self) -> Kept:
+        return self._kept
+
+    def write(self, store: Store) -> None:
+        self._disk.write([store])
+
+    def damage(self, what: bytes) -> None:
+        """The last place that holds those bytes, of the log or of the file."""
+        for name in ("lighthouse.db-wal", "lighthouse.db"):
+            file = self.here / name
+            data = file.read_bytes()
+            at = data.rfind(what)
+            if at >= 0:
+                file.write_bytes(data[:at] + bytes([data[at] ^ 1]) + data[at + 1 :])
+                return
+        raise ValueError(f"the disk does not hold {what!r}")
+
+
 class Host:
     """One machine of the core: its disk outlasts its process."""
 
     def __init__(self, core: Core, name: str) -> None:
         self.core, self.name = core, name
-        self.disk = DiskState()
+        self.disk: DiskState | FileState = core.disk(name)
         self.life = 0
         self.member: Member | None = None
         self.stalled_until = self.frozen_until = 0
@@ -79,7 +117,9 @@
 
     def start(self, first: bool = False) -> None:
         self.life += 1
-        if not self.disk.inc:
+        if isinstance(self.disk, FileState):
+            self.disk.open(first)
+        elif not self.disk.inc:
             self.disk.inc = FIRST if first else f"disk{self.core.rng.getrandbits(40)}"
         core = self.core
         self.member = Member(
@@ -90,11 +130,15 @@
         self.do(self.member.start(core.now))
         self._tick(self.life)
 
-    def stop(self, wipe: bool = False) -> None:
+    def stop(self, wipe: bool = False, damage: str = "") -> None:
+        """`damage`: bytes in the disk's file that are found and spoilt."""
         self.life += 1
         self.member = None
         if wipe:
             self.disk = DiskState()
+        if damage:
+            assert isinstance(self.disk, FileState)
+            self.disk.damage(damage.encode())
 
     def ask(self, what: Ask, done: Callable[[Any], None]) -> None:
         if self.member is not None:
@@ -161,7 +205,13 @@
 
 
 class Core:
-    def __init__(self, names: Iterable[str], seed: int, enough: int = 2, seeds: int = 3) -> None:
+    def __init__(
+        self, names: Iterable[str], seed: int, enough: int = 2, seeds: int = 3, folder: Path | None = None
+    ) -> None:
+        """`folder`: the disks are real files there."""
+        self.disk: Callable[[str], DiskState | FileState] = lambda name: (
+            DiskState() if folder is None else FileState(folder / name.partition(":")[0])
+        )
         self.rng, self.now, self.enough = random.Random(seed), 0, enough
         self.hosts = {name: Host(self, name) for name in names}
         self.seeds = list(self.hosts)[:seeds]
--- a/tests/lighthouse/test_core.py
+++ b/tests/lighthouse/test_core.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -11,6 +12,7 @@
 from testtools.matchers import Equals, HasLength
 from timeline import play
 
+from brackengate.lighthouse.member import FIRST
 from brackengate.signals.words import Amend, Claim, Read
 
 
@@ -289,6 +291,51 @@
             self.assertThat(seen, Equals(sorted(set(seen))), host.name)
 
 
+def test_a_member_with_a_damaged_file_is_let_in_anew(tmp_path: Path) -> None:
+    """All were in the first view; those that are damaged come back as others."""
+    core, answers = play(
+        """
+        ms    | A              B              C
+        2000  | claim k1 g1
+        2500  | damage k1
+        2900  |                head
+        3000  | up
+        3050  | out
+        4000  |                claim k2 g2
+        7000  | in             head           in
+        7000  | has k1
+        7000  | has k2
+        8000  |                down           down
+        9000  | damage k2
+        9500  | up             up             up
+        16000 | in             in             in
+        16000 | has k2         has k1
+        """,
+        folder=tmp_path,
+    )
+    assert answers == {"k1 g1": "ok", "k2 g2": "ok"}
+    lives = {seat.addr: seat.inc for view in core.views().values() for seat in view.seats}
+    assert [lives[name] == FIRST for name in core.hosts] == [False, True, True]
+
+
+def test_what_is_beside_a_promise_costs_the_vote(tmp_path: Path) -> None:
+    """B must not go on with C, whose file may have lost what it promised to A."""
+    _, answers = play(
+        """
+        ms    | A              B              C
+        2000  | claim k1 g1
+        2200  | down                          damage lineage
+        2900  |                               up
+        4500  |                away           out
+        4500  |                claim k2 g2
+        5500  | up
+        9000  | in             has k1         has k1
+        """,
+        folder=tmp_path,
+    )
+    assert answers == {"k1 g1": "ok", "k2 g2": "ok"}
+
+
 @pytest.mark.parametrize("members", [3, 4, 5])
 @pytest.mark.parametrize("seed", range(4))
 def test_drawn_faults_lose_no_claim_and_grant_none_twice(members: int, seed: int) -> None:
--- a/tests/lighthouse/timeline.py
+++ b/tests/lighthouse/timeline.py
@@ -6,6 +6,7 @@
     5000  |                claim k1 g2
 
 What a cell may say: `claim KEY GATE`, `free KEY GATE`; `down`, `wipe` (down, and the disk is lost), `up`;
+`damage TEXT` (down, and a byte of that text on the disk is spoilt);
 `cut` (from all), `mute` (what it sends is lost), `heal`; `stall MS` (its disk), `freeze MS`; and what is
 looked at: `head`, `in`, `out` (of the view), `has KEY`, `serves`, `away`.  Answers are kept by cell, as in
 `answers["k1 g1"]`.
@@ -14,6 +15,7 @@
 from __future__ import annotations
 
 import re
+from pathlib import Path
 from typing import Any
 
 from corekit import Core, Host
@@ -25,14 +27,16 @@
     """A timeline's line that does not hold."""
 
 
-def play(text: str, seed: int = 1, enough: int = 2, seeds: int = 3) -> tuple[Core, dict[str, str]]:
+def play(
+    text: str, seed: int = 1, enough: int = 2, seeds: int = 3, folder: Path | None = None
+) -> tuple[Core, dict[str, str]]:
     """Play it to 8 s behind its last line; the core, and what became of each ask: ok, held by a gate, or
-    none."""
+    none.  With a folder the disks are real files there."""
     lines = [line for line in text.splitlines() if "|" in line]
     title, body = lines[0], lines[1:]
     starts = [(m.start(), m[0]) for m in re.finditer(r"\S+", title) if m.start() > title.index("|")]
     addresses = {name: f"10.0.0.{n + 1}:80" for n, (_, name) in enumerate(starts)}
-    core = Core(addresses.values(), seed, enough, seeds)
+    core = Core(addresses.values(), seed, enough, seeds, folder)
     answers: dict[str, str] = {}
     last = 0
     for line in body:
@@ -65,6 +69,8 @@
         host.ask(what, done)
     elif word in ("down", "wipe"):
         host.stop(wipe=word == "wipe")
+    elif word == "damage":
+        host.stop(damage=rest[0])
     elif word == "up":
         host.start()
     elif word == "cut":
