Measure a lighthouse's commit and its start in the mesh's benchmark

Tests now also change a promise and a claim in a file without a log, which sqlite reads as they stand: taking out the sum over meta was seen by no test.

--- a/benchmarks/mesh.py
+++ b/benchmarks/mesh.py
@@ -3,7 +3,8 @@
     python -m benchmarks.mesh                    # 3 lighthouses, 6 pilots
     python -m benchmarks.mesh --pilots 12 --rounds 5
 
-Processor time for a request on a pilot and for a claim on a lighthouse, memory, the time from an
+Processor time of a commit on a lighthouse's disk and of its reading at a start.  Processor time for a request
+on a pilot and for a claim on a lighthouse, memory, the time from an
 acknowledgement to the effect on the last pilot, and the time that a keyed request waits while a killed head
 is mended away.
 """
@@ -17,10 +18,15 @@
 import time
 from pathlib import Path
 
+from brackengate.lighthouse.actions import Store
+from brackengate.lighthouse.store import open_disk
+from brackengate.signals.words import Row
 from standins.mesh import Machine, Mesh, call
 
 REQUESTS = 1500
 AT_ONCE = 16
+COMMITS = 1000
+KEYS = 16_000
 
 
 async def load(mesh: Mesh, keyed: bool, tag: str) -> float:
@@ -80,8 +86,32 @@
     return took
 
 
+def store(folder: Path) -> None:
+    """A claim a commit, and a start with as many keys as two windows hold at 130 a second."""
+    disk, _ = open_disk(str(folder), first=True)
+    for count in (COMMITS, KEYS):
+        begun, used = time.perf_counter(), time.process_time()
+        for commit in range(0, count, count // COMMITS):
+            rows: list[tuple[int, Row]] = [
+                (n, ("key", f"{count}-{n:032x}", ["10.1.0.8:8300", f"{n:016x}"]))
+                for n in range(commit, commit + count // COMMITS)
+            ]
+            disk.write([Store({"place": rows[-1][0]}, rows)])
+        took, cpu_s = time.perf_counter() - begun, time.process_time() - used
+        print(
+            f"a commit of {count // COMMITS}: {cpu_s / COMMITS * 1e6:.0f} us of processor time,"
+            f" {took / COMMITS * 1e6:.0f} us with its sync"
+        )
+    disk.close()
+    used = time.process_time()
+    disk, kept = open_disk(str(folder), first=False)
+    print(f"a start with {len(list(kept.rows))} rows: {(time.process_time() - used) * 1e3:.0f} ms of it")
+    disk.close()
+
+
 async def main(pilots: int, rounds: int) -> None:
     with tempfile.TemporaryDirectory() as folder:
+        store(Path(folder) / "store")
         mesh = Mesh(Path(folder), pilots=pilots)
         try:
             await mesh.start()
--- a/brackengate/lighthouse/store.py
+++ b/brackengate/lighthouse/store.py
@@ -286,10 +286,8 @@
     """sqlite would take an empty file for a new one, and not write to one that names another version."""
     with path.open("rb") as file:
         head = file.read(20)
-    if not head:
-        raise Damaged("it is empty")
     if head[:16] != b"SQLite format 3\0" or head[18:] not in (b"\1\1", b"\2\2"):
-        raise Damaged("it does not begin as a file of sqlite")
+        raise Damaged("it does not begin as a file of sqlite" if head else "it is empty")
 
 
 # --- the folder
--- a/tests/lighthouse/test_store.py
+++ b/tests/lighthouse/test_store.py
@@ -99,6 +99,26 @@
     assert found > 15
 
 
+@pytest.mark.parametrize(
+    ("value", "other", "found"),
+    [
+        (b'[7,"b:1"]', b'[6,"b:1"]', "the sum over meta"),
+        (b"attempt 9", b"attempt 8", "the sum over its 68 rows"),
+    ],
+)
+def test_a_value_that_reads_well_and_is_another_is_found(
+    served: Path, caplog: pytest.LogCaptureFixture, value: bytes, other: bytes, found: str
+) -> None:
+    """An older ballot, a claim of another attempt: in a file without a log, which sqlite does not
+    check."""
+    open_disk(str(served), first=True)[0].close()
+    data = (served / NAME).read_bytes()
+    assert value in data
+    (served / NAME).write_bytes(data.replace(value, other))
+    assert is_new_life(reopened(served))
+    assert found in caplog.text
+
+
 @pytest.mark.parametrize("which", [NAME, f"{NAME}-wal"])
 def test_no_file_that_was_cut_short_is_believed(served: Path, which: str) -> None:
     whole = state(open_disk(str(killed(served)), first=True)[1])
@@ -136,10 +156,11 @@
 
 
 def test_the_damaged_file_is_put_aside_and_named(served: Path, caplog: pytest.LogCaptureFixture) -> None:
-    for n in range(2):  # the second one takes the first one's place
-        (served / NAME).write_bytes(b"spoilt %d" % n)
+    for spoilt in (b"", b"spoilt"):  # the second one takes the first one's place
+        (served / NAME).write_bytes(spoilt)
         assert is_new_life(reopened(served))
-        assert (served / ASIDE).read_bytes() == b"spoilt %d" % n
+        assert (served / ASIDE).read_bytes() == spoilt
+    assert f"file {served / NAME}: damaged: it is empty" in caplog.text
     assert f"file {served / NAME}: damaged: it does not begin as a file of sqlite" in caplog.text
     assert {file.name for file in served.iterdir()} <= {NAME, TALLY, *OTHERS}
 
