--- a/brackengate/lighthouse/role.py
+++ b/brackengate/lighthouse/role.py
@@ -87,6 +87,8 @@
             self._loop.add_signal_handler(number, self._stop)
         self._loop.add_signal_handler(signal.SIGHUP, lambda: None)
         kept = await self._open_disk()
+        if kept is None:
+            return 0
         settings, now = self.settings, self.now()
         first = settings.initial_start and kept.inc == FIRST
         seeds = [f"{host}:{port}" for host, port in settings.seeds]
@@ -118,12 +120,17 @@
         if not self._left.done():
             self._left.set_result(code)
 
-    async def _open_disk(self) -> Kept:
+    async def _open_disk(self) -> Kept | None:
+        """None: it was told to stop while the disk was in trouble."""
         folder, first = self.settings.data_dir, self.settings.initial_start
         while True:
+            opening = self._loop.run_in_executor(self._threads, open_disk, folder, first)
+            either: set[asyncio.Future[Any]] = {opening, self._left}
+            await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
+            if self._left.done():
+                return None
             try:
-                opened = await self._loop.run_in_executor(self._threads, open_disk, folder, first)
-                self._disk, kept = opened
+                self._disk, kept = opening.result()
                 return kept
             except (OSError, sqlite3.Error, Damaged) as error:
                 log.error("store: step open, folder %s: %s; tried again", folder, error)
--- a/brackengate/lighthouse/store.py
+++ b/brackengate/lighthouse/store.py
@@ -113,7 +113,7 @@
     _sync_folder(path.parent)
     disk = Disk(new)
     try:
-        disk.settle("DELETE")
+        disk.settle("MEMORY")  # what is cut off here is begun anew
         run = disk.db.execute
         run("CREATE TABLE meta (name TEXT PRIMARY KEY, value BLOB) WITHOUT ROWID")
         run(
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -97,7 +97,8 @@
     """Answers with its id's seal after `work_s`; counts what it ran, by attempt id and by key."""
 
     machine: Machine
-    ports: Ports
+    port: int
+    control: int  # of the pilot on its machine: there go its beats
     id: str
     work_s: float = 0.005
     ran: list[tuple[str, str]] = field(default_factory=list)
@@ -112,7 +113,7 @@
         self.lives += 1
         if self.lives > 1:
             self.id = f"{self.id.partition('.')[0]}.{self.lives}"
-        self.server = await asyncio.start_server(self._serve, self.machine.ip, self.ports.application)
+        self.server = await asyncio.start_server(self._serve, self.machine.ip, self.port)
         self.beats = asyncio.create_task(self._beat())
 
     async def stop(self) -> None:
@@ -155,7 +156,7 @@
             count += 1
             beat = {
                 "Plant": self.machine.plant,
-                "Address": f"{self.machine.ip}:{self.ports.application}",
+                "Address": f"{self.machine.ip}:{self.port}",
                 "Zone": self.machine.zone,
                 "Revision": "v1",
                 "Capacity": 6,
@@ -165,7 +166,7 @@
             }
             target = f"/v1/rpc?call=instances.feedback&of={self.id}"
             try:
-                await call(self.machine.ip, self.ports.control, "POST", target, json.dumps(beat).encode())
+                await call(self.machine.ip, self.control, "POST", target, json.dumps(beat).encode())
             except OSError:
                 await asyncio.sleep(0.1)  # its pilot is not up yet
                 continue
@@ -215,7 +216,11 @@
             Machine(f"127.10.{n % 3 + 1}.{n + 10}", f"z{n % 3 + 1}", "pilot", folder / f"side-{n + 1}", "p")
             for n in range(pilots)
         ]
-        self.upstreams = [Upstream(side, self.ports, f"i-{n + 1}") for n, side in enumerate(self.sides)]
+        ports = self.ports
+        self.upstreams = [
+            Upstream(side, ports.application, ports.control, f"i-{n + 1}")
+            for n, side in enumerate(self.sides)
+        ]
         self.log = folder / "log.txt"
         self._log = open(self.log, "wb")  # noqa: SIM115 -- it lives as long as the mesh does
         self._version = 0
--- a/tests/lighthouse/test_store.py
+++ b/tests/lighthouse/test_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 import shutil
 import sqlite3
@@ -14,7 +15,9 @@
 
 from brackengate.lighthouse.actions import Store
 from brackengate.lighthouse.member import FIRST, Kept
-from brackengate.lighthouse.store import ASIDE, NAME, TALLY, Disk, NewerForm, open_disk
+from brackengate.lighthouse.role import Lighthouse
+from brackengate.lighthouse.store import ASIDE, NAME, TALLY, Disk, NewerForm, damaged, open_disk
+from brackengate.signals.settings import parse
 from brackengate.signals.words import Seat, View
 
 VIEW = View(2, (Seat("a:1", FIRST, 1),))
@@ -273,6 +276,51 @@
 """
 
 
+def lighthouse(folder: Path, settings: Path) -> subprocess.Popen[str]:
+    settings.write_text(SETTINGS % folder)
+    command = [sys.executable, "-m", "brackengate.mesh", "lighthouse", "--settings", str(settings)]
+    return subprocess.Popen(command, stderr=subprocess.PIPE, text=True)
+
+
+def test_one_that_waits_for_its_disk_can_be_told_to_stop(tmp_path: Path) -> None:
+    (tmp_path / "no folder").write_bytes(b"")
+    process = lighthouse(tmp_path / "no folder", tmp_path / "local.toml")
+    try:
+        assert process.stderr is not None
+        assert "store: step open, folder" in process.stderr.readline()
+        process.terminate()
+        assert process.wait(30) == 0
+    finally:
+        process.kill()
+        process.communicate()
+
+
+def test_a_file_that_breaks_while_in_use_ends_the_process_and_the_next_start_mends_it(
+    served: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    disk, _ = open_disk(str(served), first=True)
+    disk.db.execute("PRAGMA cache_size=0")
+    disk.db.execute("PRAGMA shrink_memory")
+    for name in (NAME, f"{NAME}-wal"):
+        (served / name).write_bytes(os.urandom((served / name).stat().st_size))
+    with pytest.raises(sqlite3.DatabaseError) as broken:
+        disk.write([rows(100, 200)])
+    assert damaged(broken.value)
+
+    async def told() -> int:
+        lighthouse = Lighthouse(parse(SETTINGS % served))
+        done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        done.set_exception(broken.value)
+        lighthouse._written([], done)
+        async with asyncio.timeout(10):
+            return await lighthouse._left
+
+    assert asyncio.run(told()) == 1
+    assert "; this ends here, and the next start" in caplog.text
+    assert is_new_life(reopened(killed(served)))
+    disk.close()
+
+
 def test_a_newer_programs_file_is_refused_in_a_sentence_and_left_alone(served: Path, tmp_path: Path) -> None:
     disk, _ = open_disk(str(served), first=True)
     disk.db.execute("UPDATE meta SET value = '3' WHERE name = 'form'")
@@ -280,10 +328,8 @@
     disk.close()
     with pytest.raises(NewerForm):
         open_disk(str(killed(served, "other")), first=True)
-    file = tmp_path / "local.toml"
-    file.write_text(SETTINGS % folder)
-    command = [sys.executable, "-m", "brackengate.mesh", "lighthouse", "--settings", str(file)]
-    ended = subprocess.run(command, capture_output=True, text=True, timeout=30)
+    process = lighthouse(folder, tmp_path / "local.toml")
+    _, told = process.communicate(timeout=30)
     said = f"brackengate: {folder / NAME}: written by a newer program (form 3, this one reads 2)\n"
-    assert (ended.returncode, ended.stderr) == (2, said)
+    assert (process.returncode, told) == (2, said)
     assert not (folder / ASIDE).exists()
--- a/tests/test_demo_mesh.py
+++ b/tests/test_demo_mesh.py
@@ -7,7 +7,7 @@
 import sys
 from pathlib import Path
 
-from standins.mesh import Machine, Ports, Upstream
+from standins.mesh import Machine, Upstream
 from standins.mesh_callers import Books, Operation
 
 ROOT = Path(__file__).parent.parent
@@ -15,7 +15,7 @@
 
 def upstream(*ran: str) -> Upstream:
     side = Machine("127.0.0.1", "z1", "pilot", Path())
-    return Upstream(side, Ports(), "i-1", ran=[("a", key) for key in ran])
+    return Upstream(side, 1, 2, "i-1", ran=[("a", key) for key in ran])
 
 
 def test_nothing_but_an_answer_that_went_with_a_killed_part_is_forgiven() -> None:
