--- a/brackengate/lighthouse/store.py
+++ b/brackengate/lighthouse/store.py
@@ -276,6 +276,7 @@
         self.db.close()
         if self._told is not None:
             os.close(self._told)
+            self._told = None
 
 
 def _sum_of(kind: bytes, name: bytes, place: int, value: bytes) -> int:
--- a/tests/lighthouse/test_store.py
+++ b/tests/lighthouse/test_store.py
@@ -248,10 +248,14 @@
     assert len(list(reopened(folder).rows)) == 399
 
 
+@pytest.mark.parametrize("spoilt", [False, True])
 def test_a_disk_that_is_full_while_it_opens_is_tried_again(
-    served: Path, monkeypatch: pytest.MonkeyPatch
+    served: Path, monkeypatch: pytest.MonkeyPatch, spoilt: bool
 ) -> None:
+    """Also where a new file has to be begun: what was put aside makes room for it."""
     whole = state(open_disk(str(killed(served)), first=True)[1])
+    if spoilt:
+        (served / NAME).write_bytes(b"spoilt")
     real = Disk.settle
 
     def full(self: Disk, journal: str) -> None:
@@ -262,8 +266,9 @@
     with pytest.raises(sqlite3.OperationalError, match="full"):
         open_disk(str(served), first=True)
     monkeypatch.setattr(Disk, "settle", real)
-    assert state(reopened(served)) == whole
-    assert not (served / ASIDE).exists()
+    assert [file.stat().st_size for file in served.glob(f"{ASIDE}*")] == [0, 0] * spoilt
+    kept = reopened(served)
+    assert is_new_life(kept) if spoilt else state(kept) == whole
 
 
 SETTINGS = """
