--- a/brackengate/lighthouse/role.py
+++ b/brackengate/lighthouse/role.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import logging
-import os
 import signal
 import sqlite3
 import time
@@ -17,7 +16,7 @@
 from brackengate.lighthouse.actions import Action, Answer, Publish, Restart, Store, Tell
 from brackengate.lighthouse.control import Control
 from brackengate.lighthouse.member import FIRST, Kept, Member
-from brackengate.lighthouse.store import BadDisk, Disk
+from brackengate.lighthouse.store import Damaged, Disk, damaged, open_disk
 from brackengate.lighthouse.watchroom import Watchroom
 from brackengate.net.node import Clock
 from brackengate.net.sockets import Address, bind
@@ -78,6 +77,7 @@
         self._asks: dict[int, Callable[[Any], None]] = {}
         self._last_ask = 0
         self._core: Core | None = None
+        self._logged = 0  # the view that the log names last
         self._inner: asyncio.Server | None = None
         self._ticker: asyncio.TimerHandle | None = None
 
@@ -92,6 +92,8 @@
             self._loop.add_signal_handler(number, self._stop)
         self._loop.add_signal_handler(signal.SIGHUP, lambda: None)
         kept = await self._open_disk()
+        if kept is None:
+            return 0
         settings, now = self.settings, self.now()
         first = settings.initial_start and kept.inc == FIRST
         seeds = [f"{host}:{port}" for host, port in settings.seeds]
@@ -120,21 +122,23 @@
         finally:
             server.close()
 
-    def _stop(self) -> None:
+    def _stop(self, code: int = 0) -> None:
         if not self._left.done():
-            self._left.set_result(0)
+            self._left.set_result(code)
 
-    async def _open_disk(self) -> Kept:
-        settings = self.settings
-        inc = FIRST if settings.initial_start else os.urandom(6).hex()
-        folder = settings.data_dir or "."
+    async def _open_disk(self) -> Kept | None:
+        """None: it was told to stop while the disk was in trouble."""
+        folder, first = self.settings.data_dir, self.settings.initial_start
         while True:
+            opening = self._loop.run_in_executor(self._threads, open_disk, folder, first)
+            either: set[asyncio.Future[Any]] = {opening, self._left}
+            await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
+            if self._left.done():
+                return None
             try:
-                self._disk = await self._loop.run_in_executor(self._threads, Disk, folder)
-                return await self._loop.run_in_executor(self._threads, self._disk.read, inc)
-            except BadDisk:
-                raise
-            except (OSError, sqlite3.Error) as error:
+                self._disk, kept = opening.result()
+                return kept
+            except (OSError, sqlite3.Error, Damaged) as error:
                 log.error("store: step open, folder %s: %s; tried again", folder, error)
                 await asyncio.sleep(RETRY_S)
 
@@ -145,6 +149,11 @@
         self.member.fit(not self._failed and not slow)
         self._carry_out(self.member.tick(now))
         self._keep_followers(now)
+        view = self.member.agreement.view
+        if view.epoch != self._logged:
+            self._logged = view.epoch
+            chain = ", ".join(seat.addr for seat in view.seats)
+            log.info("lighthouse: view %d, from head to tail: %s", view.epoch, chain)
 
     # --- carrying out
 
@@ -188,6 +197,10 @@
 
     def _written(self, batch: list[Store], done: asyncio.Future[None]) -> None:
         error = done.exception()
+        if damaged(error):
+            log.error("store: step write: %s; this ends here, and the next start begins a new life", error)
+            self._stop(1)
+            return
         if error is not None:
             if not self._failed:
                 log.error("store: step write: %s; the seat is given up until it succeeds", error)
