Drive the deciders of view and chain through every order of events within bounds

The tests of the core draw their faults from seeds: a history that needs five unlucky steps in a row is not likely to be drawn. `brackengate lab check-agreement` goes through all histories within bounds, breadth first, with the real deciders, and draws the shortest one that breaks an invariant, a column a member.

Ruled out: a model in a language of its own (a copy that may differ from what runs), random walks (there are some already).

Members take their two deciders from class attributes, so that mistakes can be put in by subclasses. The disk of the core's test kit moved to the package and is shared.

Each of five mistakes is found: `pytest tests/soundings`.

--- a/brackengate/cli_lab.py
+++ b/brackengate/cli_lab.py
@@ -5,6 +5,7 @@
 import json
 import logging
 import time
+from dataclasses import asdict, replace
 from pathlib import Path
 from typing import Any
 
@@ -513,3 +514,129 @@
         for name, one, other in found:
             console.print(f"{name}: {part:.0%} within {one:.0f} ms emulated, {other:.0f} ms on sockets")
     console.print(f"furthest apart: {worst.name}, {worst.end}, by {abs(worst.difference):.4f}")
+
+
+def _bounds(command: Any) -> Any:
+    """An option for each bound, without a value of its own: the scope's, or the mistake's, stands."""
+    for name, words in reversed(BOUNDS.items()):
+        kind = click.IntRange(1 if name == "members" else 0, 7 if name == "members" else 99)
+        command = click.option(f"--{name}", type=kind, help=words)(command)
+    return command
+
+
+BOUNDS = {
+    "members": "Machines of the core.  [3]",
+    "spare": "Of these, machines beside the first view.  [0]",
+    "enough": "Disks that hold a write before it is acknowledged.  [2]",
+    "writes": "Writes of one key, by others each; with reads: versions of one service.  [1]",
+    "reads": "Reads of the configuration.  [0]",
+    "views": "The highest number of a view.  [2]",
+    "bids": "Bids for a view.  [1]",
+    "crashes": "Losses of power, and kills.  [1]",
+    "wipes": "Losses of a disk, one at once.  [0]",
+    "losses": "Losses of all that is under way between two.  [0]",
+    "doubts": "One stops hearing another that is up.  [1]",
+    "pings": "Pings that are heard, beyond those before the beginning.  [0]",
+    "repeats": "Asks that are sent again.  [0]",
+    "delays": "Links take turns, and are passed over so often; 99: any order.  [99]",
+}
+
+
+@lab.command("check-agreement")
+@_bounds
+@click.option("--apart/--at-once", default=None, help="A store is an event of its own.  [at once]")
+@click.option("--depth", type=click.IntRange(1), default=10_000, help="Events in a history, at most.")
+@click.option("--states", type=click.IntRange(1), default=5_000_000, show_default=True, help="And no more.")
+@click.option("--seconds", type=click.FloatRange(0.1), default=600.0, show_default=True, help="And no more.")
+@click.option("--mistake", help="Put a mistake in, in the bounds within which it shows; `list` tells them.")
+@click.option("--json", "as_json", is_flag=True, help="Print the figures as one JSON object.")
+def check_agreement(
+    apart: bool | None,
+    depth: int,
+    states: int,
+    seconds: float,
+    mistake: str | None,
+    as_json: bool,
+    **given: int | None,
+) -> None:
+    """Drive the lighthouses' deciders through every order of events within bounds (exit code 5: broken).
+
+    \b
+    Example: brackengate lab check-agreement --views 2 --crashes 1
+    Example: brackengate lab check-agreement --mistake stale-tail
+    """
+    import msgspec
+
+    from brackengate.lighthouse.member import Member
+    from brackengate.soundings.chart import draw
+    from brackengate.soundings.mistakes import MISTAKES
+    from brackengate.soundings.model import Bounds, Model
+    from brackengate.soundings.search import Found, Limits, search
+
+    if mistake is not None and mistake not in MISTAKES:
+        told = "\n".join(f"  {name:<14} {one.words}" for name, one in MISTAKES.items())
+        if mistake == "list":
+            click.echo(told)
+            return
+        fail(f"--mistake: there is no {mistake!r}; allowed:\n{told}", BAD)
+    chosen = MISTAKES.get(mistake or "")
+    changes: dict[str, Any] = {name: value for name, value in given.items() if value is not None}
+    if apart is not None:
+        changes["apart"] = apart
+    bounds = replace(chosen.bounds if chosen is not None else Bounds(), **changes)
+    if bounds.spare >= bounds.members:
+        fail(f"--spare: {bounds.spare} of {bounds.members} members leave no first view", BAD)
+    if bounds.reads and bounds.reads > bounds.members:
+        fail(f"--reads: {bounds.reads}; allowed: up to {bounds.members}, the number of members", BAD)
+
+    def heard(found: Found) -> None:
+        told_of = {"depth": found.depth, "states": found.states, "seconds": round(found.seconds, 1)}
+        log.info("a layer is done", extra=told_of)
+
+    kind = chosen.kind if chosen is not None else Member
+    found = search(Model(bounds, kind), Limits(depth, states, seconds), time.monotonic, heard)
+    drawn = draw(Model(bounds, kind), found.history, found.breach) if found.breach else ""
+    figures = {
+        "bounds": asdict(bounds),
+        "mistake": mistake,
+        "states": found.states,
+        "machine_states": found.vessels,
+        "events": found.steps,
+        "cut": found.cut,
+        "depth": len(found.history) if found.breach else found.depth,
+        "seconds": round(found.seconds, 2),
+        "exhausted": not found.breach and not found.stopped,
+        "stopped": found.stopped,
+        "breach": found.breach,
+    }
+    if as_json:
+        click.echo(msgspec.json.encode({**figures, "history": found.history}))
+    else:
+        _show_search(figures, drawn)
+    raise SystemExit(BROKEN if found.breach else 0)
+
+
+def _show_search(figures: dict[str, Any], drawn: str) -> None:
+    from rich.console import Console
+    from rich.table import Table
+
+    table = Table(title="agreement within bounds")
+    table.add_column("bound")
+    table.add_column("", justify="right")
+    for name, value in figures["bounds"].items():
+        shown = "any order" if name == "delays" and value == 99 else str(value)
+        table.add_row(name, shown)
+    Console(width=110).print(table)
+    if drawn:
+        click.echo(drawn)
+        click.echo(f"shortest history: {figures['depth']} events")
+    click.echo(
+        f"{figures['states']} states ({figures['machine_states']} of single machines), {figures['events']}"
+        f" events, {figures['cut']} of them beyond the bounds, depth {figures['depth']},"
+        f" {figures['seconds']} s"
+    )
+    if not drawn:
+        end = (
+            "all of it was seen" if figures["exhausted"] else f"NOT all of it was seen: {figures['stopped']}"
+        )
+        click.echo(f"no invariant is broken; {end}")
--- a/brackengate/lighthouse/member.py
+++ b/brackengate/lighthouse/member.py
@@ -29,6 +29,9 @@
 
 
 class Member:
+    agreement_kind: type[Agreement] = Agreement  # others where mistakes are tried: see `soundings`
+    chain_kind: type[Chain] = Chain
+
     def __init__(
         self,
         me: str,
@@ -47,8 +50,10 @@
             view = View(1, tuple(Seat(seed, FIRST, 1) for seed in seeds))
             lineage = 1 if me in seeds else 0
         self.me, self._first = me, kept.view is None and view is not None
-        self.agreement = Agreement(me, kept.inc, zone, now, view, kept.promised, kept.taken_at, kept.taken)
-        self.chain = Chain(me, enough, window, kept.place, lineage, now)
+        self.agreement = self.agreement_kind(
+            me, kept.inc, zone, now, view, kept.promised, kept.taken_at, kept.taken
+        )
+        self.chain = self.chain_kind(me, enough, window, kept.place, lineage, now)
         self.chain.inc = kept.inc
         self.chain.load(list(kept.rows), now)
         for addr in (*seeds, *(seat.addr for seat in self.agreement.view.seats)):
--- /dev/null
+++ b/brackengate/soundings/chart.py
@@ -0,0 +1,151 @@
+"""A history drawn as text: a line for each event, a column for each member.  Pure."""
+
+from __future__ import annotations
+
+import textwrap
+from typing import Any
+
+import msgspec
+
+from brackengate.signals.words import (
+    Accept,
+    Accepted,
+    Do,
+    Done,
+    Forward,
+    Have,
+    Line,
+    NewView,
+    Outvoted,
+    Ping,
+    Prepare,
+    Promise,
+    Stored,
+    View,
+    WantView,
+    Whole,
+)
+from brackengate.soundings.model import Event, Model, State, carry
+from brackengate.soundings.vessel import READ, Effect, decode
+
+WIDTH = 30
+
+
+def draw(model: Model, history: tuple[Event, ...], breach: str = "") -> str:
+    """What each member did at each event; `<-` what it heard, `->` what it said, `=` what came of it."""
+    rows: list[dict[str, list[str]]] = []
+    state = model.start()
+    for event in history:
+        rows.append(_cells(model, state, event))
+        state = carry(model, state, event)[0]
+    title = "     | " + "".join(f"{name:<{WIDTH}}" for name in model.names).rstrip()
+    lines = [title, "-" * 5 + "+" + "-" * (len(model.names) * WIDTH)]
+    for n, cells in enumerate(rows, 1):
+        wrapped = {
+            name: [
+                part
+                for words in cells.get(name, [])
+                for part in textwrap.wrap(words, WIDTH - 2, subsequent_indent="   ")
+            ]
+            for name in model.names
+        }
+        for line in range(max(map(len, wrapped.values()))):
+            shown = (wrapped[name][line] if line < len(wrapped[name]) else "" for name in model.names)
+            number = f"{n:>4} " if line == 0 else " " * 5
+            lines.append((f"{number}| " + "".join(f"{one:<{WIDTH}}" for one in shown)).rstrip())
+    return "\n".join([*lines, f"     | BROKEN: {breach}"] if breach else lines)
+
+
+def _cells(model: Model, state: State, event: Event) -> dict[str, list[str]]:
+    cells: dict[str, list[str]] = {}
+    torn = event[0] == "torn"
+    what, name, *rest = event[1:] if torn else event
+    cells[name] = [_event(model, state, what, name, rest)]
+    for who, effect in carry(model, state, event)[1]:
+        shown = _effect(effect)
+        if shown and shown not in cells.setdefault(who, []):
+            cells[who].append(shown)
+    if torn:
+        cells[name].append("LOSES POWER before its disk has it")
+    return cells
+
+
+def _event(model: Model, state: State, what: str, name: str, rest: list[Any]) -> str:
+    other: Any = rest[0] if rest else ""
+    match what:
+        case "ask":
+            return "is asked to read" if other > READ else f"is asked for write {other}"
+        case "hear":
+            return f"<- {other}: {_word(decode(model.first_line(state, other, name)))}"
+    return {
+        "ping": f"<- {other}: ping, and {other} hears the answer",
+        "doubt": f"no longer hears {other}",
+        "mend": "looks at who is there",
+        "again": "asks again",
+        "have": "says again what it has",
+        "power": "LOSES POWER",
+        "kill": "IS KILLED, what it wrote is kept",
+        "wipe": "LOSES ITS DISK, and stops",
+        "start": f"starts, disk {other}",
+        "sync": "its disk has a store",
+        "lose": f"connection to {other} lost, and new",
+        "wait": f"(what {other} said is late)",
+    }[what]
+
+
+def _effect(effect: Effect) -> str:
+    match effect:
+        case ("tell", addr, line):
+            return f"-> {addr}: {_word(decode(line))}"
+        case ("answer", number, result):
+            return f"= answers {'the read' if number > READ else f'write {number}'}: {_result(result)}"
+        case ("view", view):
+            return f"= {_view(view)}" if view.epoch else ""
+    return ""
+
+
+def _result(result: bytes) -> str:
+    told: Any = msgspec.json.decode(result)
+    if "gate" in told:
+        return f"refused, {told['gate']} holds it"
+    if "Plants" in told:
+        return " ".join(one["Revision"] for one in told["Plants"]) or "nothing"
+    return "ok"
+
+
+def _view(view: View) -> str:
+    return f"view {view.epoch}: {' '.join(seat.addr for seat in view.seats)}"
+
+
+def _word(word: Line) -> str:
+    match word:
+        case Prepare(epoch, ballot):
+            return f"prepare view {epoch}, ballot {ballot[0]}{ballot[1]}"
+        case Promise(epoch, ballot):
+            taken = f", took {_view(word.taken)}" if word.taken is not None else ""
+            return f"promise for view {epoch}, ballot {ballot[0]}{ballot[1]}{taken}"
+        case Accept(_, ballot, view):
+            return f"accept {_view(view)}, ballot {ballot[0]}{ballot[1]}"
+        case Accepted(epoch, ballot):
+            return f"accepted view {epoch}, ballot {ballot[0]}{ballot[1]}"
+        case Outvoted(epoch, ballot):
+            return f"view {epoch}: outvoted by {ballot[0]}{ballot[1]}"
+        case NewView(view):
+            return f"agreed: {_view(view)}"
+        case WantView():
+            return "which view?"
+        case Have(epoch, place):
+            return f"view {epoch}: has {place if place >= 0 else 'nothing'}"
+        case Forward(epoch, after, entries):
+            return f"view {epoch}: after {after}: {' '.join(str(e.place) for e in entries) or 'nothing'}"
+        case Whole(epoch, place):
+            return f"view {epoch}: all up to {place}"
+        case Stored(epoch, place):
+            return f"view {epoch}: stored {place}"
+        case Do(_, what):
+            return f"do {type(what).__name__.lower()} {getattr(what, 'gate', '')}".rstrip()
+        case Done(_, result):
+            return f"done: {_result(msgspec.json.encode(result))}"
+        case Ping():
+            return "ping"
+    return type(word).__name__
--- /dev/null
+++ b/brackengate/soundings/model.py
@@ -0,0 +1,570 @@
+"""All machines and links together: which events may come next, what each leads to, and what must hold.  Pure.
+
+A state is a tuple of small numbers: one for each machine, one for each link, one for whose turn it is among
+the links, one for what is remembered of the past.  What an event does to one machine is worked out once, by
+the deciders, and kept.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+from typing import Any
+
+import msgspec
+
+from brackengate.lighthouse.member import FIRST, Member
+from brackengate.signals.words import Accept, Accepted, Claim, NewView, Promise, View
+from brackengate.soundings.vessel import (
+    READ,
+    Act,
+    Effect,
+    Vessel,
+    Waters,
+    ask,
+    decode,
+    encode,
+    ping,
+    plain,
+    step,
+)
+
+State = tuple[int, ...]
+Event = tuple[Any, ...]  # what; the machine; what else
+FREE = 99  # as many as one likes
+
+
+@dataclass(frozen=True)
+class Bounds:
+    """How much of each may happen in one history."""
+
+    members: int = 3
+    spare: int = 0  # of these, machines that stand beside the first view
+    enough: int = 2  # disks that hold a write before it is acknowledged
+    writes: int = 1
+    reads: int = 0
+    views: int = 2  # the highest number of a view
+    bids: int = 1
+    crashes: int = 1
+    wipes: int = 0
+    losses: int = 0  # of all that is under way between two
+    doubts: int = 1  # one stops hearing another that is up
+    pings: int = 0  # heard, beyond those before the beginning
+    repeats: int = 0  # an ask is sent again
+    delays: int = FREE  # a link is passed over, where links take turns; FREE: any order
+    apart: bool = False  # stores are events of their own
+
+
+@dataclass(frozen=True)
+class Past:
+    """What the members themselves need not know."""
+
+    left: tuple[int, ...]  # of each bounded kind, in the order of `KINDS`
+    views: tuple[View, ...]  # that were agreed, as far as any member has heard
+    asked: int = 0
+    acked: frozenset[int] = frozenset()
+    refused: frozenset[int] = frozenset()
+    reads: tuple[tuple[int, int], ...] = ()  # under way: its number, the least that it must see
+    seen: int = 0  # the highest version acknowledged or read
+    tails: tuple[tuple[int, str, str], ...] = ()
+    wiped: tuple[str, ...] = ()
+    gone: frozenset[tuple[int, str]] = frozenset()  # writes that stood on a disk when it was lost
+
+
+KINDS = ("bids", "crashes", "wipes", "losses", "doubts", "pings", "repeats", "reads", "delays")
+
+
+class Cut(Exception):
+    """The bounds leave no room for what came."""
+
+
+class Broken(Exception):
+    """An invariant does not hold."""
+
+
+@dataclass(frozen=True)
+class Facts:
+    """Of one machine, as the invariants ask for them."""
+
+    up: bool
+    inc: str
+    lineage: int
+    epoch: int  # in memory
+    held: frozenset[int]  # writes on its disk
+    applied: frozenset[int]  # writes that it knows to be agreed
+    before: str
+    unmet: bool  # has to meet the one before it in the chain
+    asks: bool
+    hears: frozenset[str]
+
+
+class Model:
+    def __init__(self, bounds: Bounds, kind: type[Member] = Member) -> None:
+        self.bounds = bounds
+        self.names = tuple("ABCDEFG"[: bounds.members])
+        seeds = self.names[: bounds.members - bounds.spare]
+        self.waters = Waters(seeds, bounds.enough, kind, bounds.reads > 0, bounds.apart)
+        self.vessels: list[Vessel] = []
+        self.facts: list[Facts] = []
+        self._known: dict[Any, int] = {}
+        self._steps: dict[tuple[int, Act], tuple[int, tuple[Effect, ...]]] = {}
+        self._pings: dict[tuple[int, str], bytes | None] = {}
+        self._links: list[tuple[bytes, ...]] = [()]
+        self._link: dict[tuple[bytes, ...], int] = {(): 0}
+        self._swept: dict[tuple[int, int], int] = {}  # of a link, towards a machine: what still matters
+        self._turns: list[tuple[int, ...]] = [()]  # the links that are not empty, in turn
+        self._turn: dict[tuple[int, ...], int] = {(): 0}
+        self._pasts: list[Past] = []
+        self._past: dict[Past, int] = {}
+        self.pairs = [(one, two) for one in self.names for two in self.names if one != two]
+        self._at = {name: n for n, name in enumerate(self.names)}
+        self._pair_at = {pair: len(self.names) + n for n, pair in enumerate(self.pairs)}
+
+    # --- numbers for states
+
+    def _vessel(self, vessel: Vessel) -> int:
+        key = plain(vessel)
+        number = self._known.get(key)
+        if number is None:
+            number = self._known[key] = len(self.vessels)
+            self.vessels.append(vessel)
+            self.facts.append(self._facts_of(vessel))
+        return number
+
+    def _line_up(self, lines: tuple[bytes, ...]) -> int:
+        number = self._link.get(lines)
+        if number is None:
+            number = self._link[lines] = len(self._links)
+            self._links.append(lines)
+        return number
+
+    def _queue_up(self, turns: tuple[int, ...]) -> int:
+        number = self._turn.get(turns)
+        if number is None:
+            number = self._turn[turns] = len(self._turns)
+            self._turns.append(turns)
+        return number
+
+    def _remember(self, past: Past) -> int:
+        number = self._past.get(past)
+        if number is None:
+            number = self._past[past] = len(self._pasts)
+            self._pasts.append(past)
+        return number
+
+    def past(self, state: State) -> Past:
+        return self._pasts[state[-1]]
+
+    def _facts_of(self, vessel: Vessel) -> Facts:
+        disk, member = vessel.disk, vessel.member
+        held = self._writes(disk.rows)
+        if member is None:
+            return Facts(False, disk.inc, disk.get("lineage", int, 0), 0, held, frozenset(), "", False, False,
+                         frozenset())  # fmt: skip
+        chain, agreement = member.chain, member.agreement
+        agreed = {
+            name: (place, encode(value))
+            for name, (place, value) in chain.rows.items()
+            if place <= chain.agreed
+        }
+        return Facts(
+            True,
+            disk.inc,
+            disk.get("lineage", int, 0),
+            agreement.view.epoch,
+            held,
+            self._writes(agreed),
+            chain._before(),
+            chain._index() > 0 and chain.synced != chain.view.epoch,
+            bool(chain._asks),
+            frozenset(addr for addr in agreement.peers if agreement.hears(addr, 0)),
+        )
+
+    def _writes(self, rows: dict[tuple[str, str], tuple[int, bytes]]) -> frozenset[int]:
+        if self.waters.amends:
+            row = rows.get(("plant", "p"))
+            version = msgspec.json.decode(row[1])[0] if row is not None else 0
+            return frozenset(range(1, version + 1))
+        row = rows.get(("key", "k"))
+        held = msgspec.json.decode(row[1]) if row is not None else None
+        return frozenset(number for number in range(1, self.bounds.writes + 1) if held == [f"g{number}", "1"])
+
+    # --- the beginning
+
+    def start(self) -> State:
+        """All have started for the first time, hold the first view and have heard of each other."""
+        full = Past((FREE,) * len(KINDS), ())
+        hosts = [self._vessel(Vessel(name)) for name in self.names]
+        state: State = (*hosts, *([0] * len(self.pairs)), 0, self._remember(full))
+        for name in self.names:
+            state = self._do(state, ("start", name, FIRST if name in self.waters.seeds else f"{name}0"))
+        for _ in range(20):
+            for event in [
+                *(("have", name) for name in self.names if self.facts[state[self._at[name]]].unmet),
+                *(("ping", one, two) for one, two in self.pairs),
+            ]:
+                state = self._do(state, event)
+                state = self._calm(state)
+        left = tuple(getattr(self.bounds, kind) for kind in KINDS)
+        past = Past(left, self.past(state).views)
+        return (*state[:-2], 0, self._remember(past))
+
+    def _calm(self, state: State) -> State:
+        """Deliver and store whatever is under way."""
+        while True:
+            event = next(
+                (e for e in self.events(state) if e[0] in ("hear", "sync")),
+                None,
+            )
+            if event is None:
+                return state
+            state = self._do(state, event)
+
+    # --- what may come next
+
+    def events(self, state: State) -> Iterator[Event]:
+        past = self.past(state)
+        left = dict(zip(KINDS, past.left, strict=True))
+        names = self.names
+        up = [name for name in names if self.facts[state[self._at[name]]].up]
+        if self.bounds.delays == FREE:
+            for one, two in self.pairs:
+                if state[self._pair_at[one, two]]:
+                    yield ("hear", two, one)
+        elif state[-2]:
+            turns = self._turns[state[-2]]
+            one, two = self.pairs[turns[0] - len(names)]
+            yield ("hear", two, one)
+            if len(turns) > 1 and left["delays"]:
+                yield ("wait", two, one)
+        for name in up:
+            facts, vessel = self.facts[state[self._at[name]]], self.vessels[state[self._at[name]]]
+            if vessel.queue:
+                yield ("sync", name)
+            if past.asked < self.bounds.writes:
+                yield ("ask", name, past.asked + 1)
+            if left["reads"]:
+                yield ("ask", name, READ + left["reads"])
+            yield ("mend", name)
+            for other in names:
+                if other in facts.hears and (other not in up or left["doubts"]):
+                    yield ("doubt", name, other)
+            if left["pings"]:
+                for other in up:
+                    if other != name:
+                        yield ("ping", name, other)
+            if left["repeats"] and facts.asks:
+                yield ("again", name)
+            if facts.unmet and not any(
+                state[self._pair_at[pair]] for pair in ((name, facts.before), (facts.before, name))
+            ):  # else its pause is not over: an answer may be under way
+                yield ("have", name)
+            if left["crashes"]:
+                yield ("power", name)
+                if vessel.queue:
+                    yield ("kill", name)
+            if left["wipes"] and self._may_be_wiped(state, name, past):
+                yield ("wipe", name)
+        for name in names:
+            if name not in up:
+                yield ("start", name, self.facts[state[self._at[name]]].inc or f"{name}{len(past.wiped)}")
+                if left["wipes"] and self._may_be_wiped(state, name, past):
+                    yield ("wipe", name)
+        if left["losses"]:
+            for one, two in self.pairs:
+                if one < two and (state[self._pair_at[one, two]] or state[self._pair_at[two, one]]):
+                    yield ("lose", one, two)
+
+    def _may_be_wiped(self, state: State, name: str, past: Past) -> bool:
+        """One disk at once is what may be lost: whoever lost one before has taken its seat again."""
+        if self.facts[state[self._at[name]]].inc == "":
+            return False
+        return all(other == name or self._counts(state, other, past.views[-1]) for other in past.wiped)
+
+    def _counts(self, state: State, name: str, view: View) -> bool:
+        facts, seat = self.facts[state[self._at[name]]], view.seat(name)
+        return seat is not None and seat.inc == facts.inc and seat.since == facts.lineage
+
+    def steps(self, state: State) -> Iterator[tuple[Event, State | None, str]]:
+        """All events, what each leads to (None: the bounds have no room) and the words of a breach."""
+        crashes = self.past(state).left[KINDS.index("crashes")]
+        for event in self.events(state):
+            for torn in (False, True) if crashes and not self.bounds.apart else (False,):
+                if torn and event[0] in ("power", "kill", "wipe", "lose", "start", "wait"):
+                    continue  # there is no store in it, or none that this would tear
+                try:
+                    after = self._do(state, event, torn)
+                except Cut:
+                    yield event, None, ""
+                    continue
+                except Broken as broken:
+                    yield ("torn", *event) if torn else event, None, str(broken)
+                    continue
+                if after != state:
+                    yield ("torn", *event) if torn else event, after, self._breach(after)
+
+    # --- one event
+
+    def _do(self, state: State, event: Event, torn: bool = False) -> State:
+        return _Doing(self, state).do(event, torn)
+
+    def local(self, number: int, act: Act) -> tuple[int, tuple[Effect, ...]]:
+        found = self._steps.get((number, act))
+        if found is None:
+            vessel, effects = step(self.vessels[number], act, self.waters)
+            found = self._steps[number, act] = self._vessel(vessel), effects
+        return found
+
+    def ping(self, number: int, addr: str) -> bytes | None:
+        if (number, addr) not in self._pings:
+            self._pings[number, addr] = ping(self.vessels[number], addr)
+        return self._pings[number, addr]
+
+    def first_line(self, state: State, one: str, two: str) -> bytes:
+        """What is heard next from the one by the other."""
+        return self._links[state[self._pair_at[one, two]]][0]
+
+    # --- what must hold
+
+    def _breach(self, state: State) -> str:
+        past = self.past(state)
+        facts = [self.facts[number] for number in state[: len(self.names)]]
+        if past.acked:
+            view = past.views[-1]
+            counting = {name for name in self.names if self._counts(state, name, view)}
+            held = {name: facts[self._at[name]].held for name in counting}
+            missing = past.acked - frozenset().union(*held.values())
+            if missing:
+                return f"write {min(missing)} was acknowledged, and nobody in view {view.epoch} holds it"
+            for name, writes in held.items():
+                if not past.acked <= writes:
+                    lacks = min(past.acked - writes)
+                    return (
+                        f"write {lacks} was acknowledged, and {name} counts in view {view.epoch} without it"
+                    )
+        for one in facts:
+            both = past.refused & one.applied
+            if both:
+                return f"write {min(both)} was refused, and it is applied"
+        return ""
+
+
+def carry(model: Model, state: State, event: Event) -> tuple[State, list[tuple[str, Effect]]]:
+    """One event of a history, and what each machine said and did; the state before it where it broke."""
+    torn = event[0] == "torn"
+    doing = _Doing(model, state)
+    try:
+        return doing.do(event[1:] if torn else event, torn), doing.told
+    except Broken:
+        return state, doing.told
+
+
+class _Doing:
+    """One event, carried through."""
+
+    def __init__(self, model: Model, state: State) -> None:
+        self.model = model
+        self.state = list(state)
+        self.past = model.past(state)
+        self.told: list[tuple[str, Effect]] = []  # for whoever draws it
+
+    def do(self, event: Event, torn: bool) -> State:
+        model = self.model
+        what, name, *rest = event
+        heard = 0
+        if torn:
+            self._spend("crashes")
+        if what == "hear":
+            pair = (rest[0], name)
+            line, *left = model._links[self._link(pair)]
+            self._set_link(pair, tuple(left))
+            heard = model._pair_at[pair]
+            self._act(name, ("hear", rest[0], line), torn)
+        elif what == "ping":  # `name` hears of the other, which hears the answer
+            self._spend("pings")
+            ping = model.ping(self._host(rest[0]), name)
+            if ping is not None:
+                self._act(name, ("hear", rest[0], ping), torn)
+        elif what == "doubt":
+            if model.facts[self._host(rest[0])].up:
+                self._spend("doubts")
+            self._act(name, ("mend", rest[0]), torn)
+        elif what == "ask":
+            number = rest[0]
+            if number > READ:
+                self._spend("reads")
+                self.past = replace(self.past, reads=(*self.past.reads, (number, self.past.seen)))
+            else:
+                self.past = replace(self.past, asked=number)
+            self._act(name, ("ask", number), torn)
+        elif what == "again":
+            self._spend("repeats")
+            self._act(name, ("again",), torn)
+        elif what in ("power", "kill", "wipe"):
+            self._spend("wipes" if what == "wipe" else "crashes")
+            if what == "wipe":
+                held = {(number, name) for number in model.facts[self._host(name)].held}
+                self.past = replace(
+                    self.past,
+                    wiped=tuple(sorted({*self.past.wiped, name})),
+                    gone=self.past.gone | held,
+                )
+            self._act(name, (what,))
+        elif what == "start":
+            for other in model.names:
+                if other != name:
+                    self._set_link((name, other), ())
+            self._act(name, ("start", rest[0]))
+            for other in model.names:
+                if other != name and model.facts[self._host(other)].up:
+                    self._act(other, ("met", name))
+                    self._act(name, ("met", other))
+        elif what == "wait":
+            self._spend("delays")
+            at = model._pair_at[rest[0], name]
+            turns = model._turns[self.state[-2]]
+            self.state[-2] = model._queue_up((*(one for one in turns if one != at), at))
+        elif what == "lose":
+            self._spend("losses")
+            self._set_link((name, rest[0]), ())
+            self._set_link((rest[0], name), ())
+            if all(model.facts[self._host(one)].up for one in (name, rest[0])):
+                self._act(name, ("met", rest[0]))
+                self._act(rest[0], ("met", name))
+        else:
+            self._act(name, (what,), torn)
+        if not model.facts[self._host(name)].up:
+            for other in model.names:
+                if other != name:
+                    self._set_link((other, name), ())
+        self._sweep()
+        if model.bounds.delays != FREE:  # a link that was heard goes to the end, as do new ones
+            old = [at for at in model._turns[self.state[-2]] if at != heard]
+            new = [at for at in model._pair_at.values() if at not in old]
+            self.state[-2] = model._queue_up(tuple(at for at in (*old, *new) if self.state[at]))
+        self.state[-1] = model._remember(self.past)
+        return tuple(self.state)
+
+    def _sweep(self) -> None:
+        """Lines of an older epoch than their receiver's that do nothing now never will: its epoch only
+        grows.  They are as good as delivered."""
+        model = self.model
+        for pair, at in model._pair_at.items():
+            number = self.state[at]
+            if number:
+                swept = model._swept.get((number, self._host(pair[1])))
+                if swept is None:
+                    swept = model._swept[number, self._host(pair[1])] = self._sweep_link(pair)
+                self.state[at] = swept
+
+    def _sweep_link(self, pair: tuple[str, str]) -> int:
+        model, host = self.model, self._host(pair[1])
+        if not model.facts[host].up:
+            return self._link(pair)
+        epoch, kept = model.facts[host].epoch, []
+        for line in model._links[self._link(pair)]:
+            word = decode(line)
+            last = word.view.epoch if isinstance(word, NewView) else getattr(word, "epoch", FREE)
+            # a view's ballots carry the number of the view to be
+            stale = last < epoch + isinstance(word, NewView | Promise | Accept | Accepted)
+            if not stale or model.local(host, ("hear", pair[0], line)) != (host, ()):
+                kept.append(line)
+        return model._line_up(tuple(kept))
+
+    def _host(self, name: str) -> int:
+        return self.state[self.model._at[name]]
+
+    def _link(self, pair: tuple[str, str]) -> int:
+        return self.state[self.model._pair_at[pair]]
+
+    def _set_link(self, pair: tuple[str, str], lines: tuple[bytes, ...]) -> None:
+        self.state[self.model._pair_at[pair]] = self.model._line_up(lines)
+
+    def _spend(self, kind: str) -> None:
+        at = KINDS.index(kind)
+        left = list(self.past.left)
+        if left[at] == 0:
+            raise Cut(kind)
+        if left[at] != FREE:
+            left[at] -= 1
+        self.past = replace(self.past, left=tuple(left))
+
+    def _act(self, name: str, act: Act, torn: bool = False) -> None:
+        model = self.model
+        number, effects = model.local(self._host(name), ("torn", *act) if torn else act)
+        self.state[model._at[name]] = number
+        for effect in effects:
+            self.told.append((name, effect))
+            match effect:
+                case ("tell", addr, line):
+                    self._tell(name, addr, line)
+                case ("pong", addr):
+                    if model.facts[self._host(addr)].up:
+                        self._act(addr, ("pong", name))
+                case ("answer", asked, result):
+                    self._answered(asked, msgspec.json.decode(result))
+                case ("bid", epoch):
+                    self._spend("bids")
+                    if epoch > model.bounds.views and self.past.left[0] != FREE:
+                        raise Cut("views")
+                case ("vote", epoch):
+                    self._voted(name, epoch)
+                case ("view", view):
+                    self._agreed(view)
+                case ("tail", epoch):
+                    self._answers(name, epoch)
+
+    def _tell(self, name: str, addr: str, line: bytes) -> None:
+        model = self.model
+        if addr not in model._at or not model.facts[self._host(addr)].up:
+            return
+        lines = model._links[self._link((name, addr))]
+        if line not in lines or b'"t":"view' not in line:  # a view said twice is said once
+            self._set_link((name, addr), (*lines, line))
+
+    # --- what must hold, where it is done
+
+    def _answered(self, number: int, result: Any) -> None:
+        past = self.past
+        if number > READ:
+            least = next(one for asked, one in past.reads if asked == number)
+            reads = tuple(one for one in past.reads if one[0] != number)
+            found = int(result["Plants"][0]["Revision"][1:]) if result and result.get("Plants") else 0
+            if found < least:
+                raise Broken(f"a read went back: it gave version {found} after version {least} was known")
+            self.past = replace(past, reads=reads, seen=max(past.seen, found))
+        elif result.get("ok"):
+            what = ask(number, self.model.waters.amends)
+            others = past.acked - {number}
+            if isinstance(what, Claim) and others:
+                raise Broken(f"writes {min(others)} and {number} were both granted the key")
+            facts = self.model.facts
+            holds = {name for name in self.model.names if number in facts[self._host(name)].held}
+            holds |= {name for gone, name in past.gone if gone == number}
+            if len(holds) < self.model.bounds.enough:
+                of = f"{len(holds)} of {self.model.bounds.enough} disks"
+                raise Broken(f"write {number} was acknowledged when {of} had stored it")
+            self.past = replace(past, acked=past.acked | {number}, seen=max(past.seen, number))
+        else:
+            self.past = replace(past, refused=past.refused | {number})
+
+    def _voted(self, name: str, epoch: int) -> None:
+        view = next((one for one in self.past.views if one.epoch == epoch - 1), None)
+        seat = view.seat(name) if view is not None else None
+        inc = self.model.facts[self._host(name)].inc
+        if seat is None or seat.inc != inc:
+            raise Broken(f"{name} voted on view {epoch} with a disk that has no seat in view {epoch - 1}")
+
+    def _agreed(self, view: View) -> None:
+        views = {one.epoch: one for one in self.past.views}
+        if views.setdefault(view.epoch, view) != view:
+            raise Broken(f"there are two views with number {view.epoch}")
+        self.past = replace(self.past, views=tuple(views[epoch] for epoch in sorted(views)))
+
+    def _answers(self, name: str, epoch: int) -> None:
+        inc = self.model.facts[self._host(name)].inc
+        for other_epoch, other, other_inc in self.past.tails:
+            if other_epoch == epoch and (other, other_inc) != (name, inc):
+                raise Broken(f"{other} and {name} both answer as the tail of view {epoch}")
+        if (epoch, name, inc) not in self.past.tails:
+            self.past = replace(self.past, tails=tuple(sorted((*self.past.tails, (epoch, name, inc)))))
--- /dev/null
+++ b/brackengate/soundings/vessel.py
@@ -0,0 +1,281 @@
+"""One machine as the search sees it: the deciders as they are, a disk, and no clock.  Pure.
+
+Time stands still at 0; what a decider would do once some time has passed is an event of its own.  After each
+event what is kept of time is set to one of two values, fresh or long ago, so that states can be compared.
+"""
+
+from __future__ import annotations
+
+import copy
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, fields, is_dataclass
+from typing import Any
+
+import msgspec
+
+from brackengate.lighthouse.actions import Action, Answer, Store, Tell
+from brackengate.lighthouse.chain import Chain
+from brackengate.lighthouse.member import FIRST, Member
+from brackengate.lighthouse.view import APART, NEVER, Agreement
+from brackengate.signals.words import (
+    Accepted,
+    Amend,
+    Ask,
+    Ballot,
+    Claim,
+    Line,
+    Ping,
+    Pong,
+    Promise,
+    Read,
+    View,
+)
+from brackengate.soundings.disk import DiskState
+
+READ = 100  # reads are numbered from here on, writes from 1
+WINDOW = 60_000_000
+Act = tuple[Any, ...]
+Effect = tuple[Any, ...]
+decode: Callable[[bytes], Line] = msgspec.json.Decoder(Line).decode
+encode = msgspec.json.encode
+
+
+@dataclass(frozen=True)
+class Waters:
+    """What is the same in all states."""
+
+    seeds: tuple[str, ...]
+    enough: int
+    kind: type[Member] = Member
+    amends: bool = False  # whether writes are versions of one service, else claims of one key
+    apart: bool = False  # whether a store is an event of its own, else part of what asked for it
+
+
+@dataclass
+class Vessel:
+    name: str
+    disk: DiskState = field(default_factory=DiskState)
+    starts: int = 0
+    member: Member | None = None
+    queue: deque[Store] = field(default_factory=deque)
+
+
+def ask(number: int, amends: bool) -> Ask:
+    if number > READ:
+        return Read()
+    if amends:
+        return Amend(f'{{"Apply":{{"Plants":[{{"Name":"p","Revision":"r{number}"}}]}}}}')
+    return Claim("k", f"g{number}", "1")
+
+
+def copied(value: Any) -> Any:
+    """Apart from the old one in all that is ever changed in place."""
+    match value:
+        case dict():
+            return {key: copied(one) for key, one in value.items()}
+        case list() | deque() | set():
+            return type(value)(copied(one) for one in value)
+        case Member() | Agreement() | Chain():
+            decider = copy.copy(value)
+            decider.__dict__.update((key, copied(one)) for key, one in value.__dict__.items())
+            return decider
+        case Store():  # never changed once it is asked for
+            return value
+    if is_dataclass(value):
+        new = copy.copy(value)
+        for one in fields(value):
+            setattr(new, one.name, copied(getattr(value, one.name)))
+        return new
+    return value
+
+
+def plain(value: Any) -> Any:
+    """The same for equal states, and hashable."""
+    kind = type(value)
+    if kind is str or kind is int or kind is bytes or kind is bool or value is None:
+        return value
+    if kind is tuple or kind is list or kind is deque:
+        return tuple([plain(one) for one in value])
+    if kind is dict:
+        return tuple(sorted([(plain(key), plain(one)) for key, one in value.items()]))
+    if kind is set:
+        return tuple(sorted(value))
+    names = _names.get(kind)
+    if names is None:
+        names = _names[kind] = (
+            value.__struct_fields__
+            if isinstance(value, msgspec.Struct)
+            else tuple(one.name for one in fields(value))
+            if is_dataclass(value)
+            else tuple(value.__dict__)  # the deciders set all that they have at once
+        )
+    return (kind.__name__, *[plain(getattr(value, name)) for name in names])
+
+
+_names: dict[type, tuple[str, ...]] = {}
+
+
+def step(old: Vessel, act: Act, waters: Waters) -> tuple[Vessel, tuple[Effect, ...]]:
+    """What comes of one event.  Effects: ("tell", whom, line), ("pong", whom), ("answer", number, result),
+    ("bid", epoch), ("vote", epoch), ("view", view) and ("tail", epoch): it answered as the tail."""
+    vessel: Vessel = copied(old)
+    if act[0] in ("kill", "power", "wipe"):
+        for store in vessel.queue if act[0] == "kill" else ():  # the thread that writes may still get it done
+            vessel.disk.write(store)
+        if act[0] == "wipe":
+            vessel.disk = DiskState()
+        vessel.member = None
+        vessel.queue.clear()
+        return vessel, ()
+    turn = _Turn(vessel, waters)
+    torn = act[0] == "torn"
+    if torn:  # what needs no store is said, then power is lost
+        act = act[1:]
+    actions = turn.begin(act)
+    turn.carry_out(actions, torn)
+    if torn:
+        vessel.member = None
+        vessel.queue.clear()
+    elif vessel.member is not None:
+        _still(vessel.member)
+    return vessel, tuple(turn.effects)
+
+
+def ping(vessel: Vessel, addr: str) -> bytes | None:
+    """The line that says to that member how this one stands."""
+    member: Member = copied(vessel.member)
+    for action in member.agreement._ping(0, member.chain.log()):
+        if isinstance(action, Tell) and action.addr == addr and isinstance(action.word, Ping):
+            return encode(msgspec.structs.replace(action.word, place=0))  # nobody decides by the place
+    return None
+
+
+def _still(member: Member) -> None:
+    agreement, chain = member.agreement, member.chain
+    agreement._pinged = agreement._ticked = 0
+    agreement._trouble = None
+    agreement._apart.clear()
+    for addr, peer in agreement.peers.items():
+        if agreement.hears(addr, 0):
+            peer.answered, peer.said_at = 0, 0 if peer.said is not None else NEVER
+        else:
+            peer.answered = peer.said_at = NEVER
+        peer.refused, peer.ever = False, True
+    if agreement._bid is not None:
+        agreement._bid.at = 0
+    chain._said_have = chain._pruned = 0
+    for pending in chain._asks.values():
+        pending.at = pending.sent = 0
+
+
+class _Turn:
+    def __init__(self, vessel: Vessel, waters: Waters) -> None:
+        self.vessel, self.waters = vessel, waters
+        self.effects: list[Effect] = []
+        self._seen = _seen(vessel.member)
+
+    def begin(self, act: Act) -> list[Action]:
+        vessel = self.vessel
+        if act[0] == "start":
+            vessel.starts += 1
+            vessel.disk.inc = vessel.disk.inc or act[1]
+            first = act[1] == FIRST
+            waters, now = self.waters, vessel.starts * 1000  # asks are numbered from there
+            member = vessel.member = waters.kind(
+                vessel.name, "", vessel.disk.kept(), waters.seeds, first, waters.enough, WINDOW, now
+            )
+            _still(member)
+            return member.start(0)
+        member = self.alive()
+        agreement, chain = member.agreement, member.chain
+        match act:
+            case ("hear", addr, line):
+                return member.heard(addr, decode(line), 0)
+            case ("pong", addr):
+                return member.heard(addr, Pong(0), 0)
+            case ("met", addr):
+                member.met(addr, 0)
+                return member.reconnected(addr, 0)
+            case ("sync",):
+                return self.sync()
+            case ("mend", *doubted):  # all pauses are over
+                for addr in doubted:
+                    agreement.peers[addr].answered = agreement.peers[addr].said_at = NEVER
+                agreement._bid = None
+                agreement._alive(-2 * APART)
+                agreement._trouble = NEVER
+                return member._settle(agreement._mend(0, chain.log()), 0)
+            case ("ask", number):
+                return member.ask(ask(number, self.waters.amends), number, 0)
+            case ("again",):
+                return [action for number in list(chain._asks) for action in chain._send(number, 0)]
+            case ("have",):
+                return chain._say_have(0)
+        raise ValueError(act)
+
+    def alive(self) -> Member:
+        assert self.vessel.member is not None
+        return self.vessel.member
+
+    def sync(self) -> list[Action]:
+        store = self.vessel.queue.popleft()
+        self.vessel.disk.write(store)
+        told: list[Action] = list(store.tells)
+        return told + (self.alive().stored(store.place, store.life) if store.place >= 0 else [])
+
+    def carry_out(self, actions: Iterable[Action], torn: bool) -> None:
+        vessel, me = self.vessel, self.vessel.name
+        own: deque[Line] = deque()
+        while True:
+            for action in actions:
+                match action:
+                    case Tell(addr, word):
+                        if isinstance(word, Promise | Accepted):
+                            self.effects.append(("vote", word.epoch))
+                        if addr == me:
+                            own.append(word)
+                        elif isinstance(word, Pong):
+                            self.effects.append(("pong", addr))
+                        elif not isinstance(word, Ping):  # those are events of their own
+                            self.effects.append(("tell", addr, encode(_bare(word))))
+                    case Store():
+                        vessel.queue.append(action)
+                    case Answer(number, result):
+                        self.effects.append(("answer", number, encode(result)))
+            self.look()
+            if torn:
+                return
+            if own:
+                actions = self.alive().heard(me, own.popleft(), 0)
+            elif vessel.queue and not self.waters.apart:
+                actions = self.sync()
+            else:
+                return
+
+    def look(self) -> None:
+        """What has changed that somebody outside may care for."""
+        before, self._seen = self._seen, _seen(self.vessel.member)
+        bid, view, agreed = self._seen
+        member = self.vessel.member
+        if member is None:
+            return
+        if bid is not None and bid != before[0]:
+            self.effects.append(("bid", bid[0]))
+        if view != before[1]:
+            self.effects.append(("view", view))
+        chain = member.chain
+        if agreed > before[2] and 0 <= chain._index() == len(chain.view.seats) - 1:
+            self.effects.append(("tail", chain.view.epoch))
+
+
+def _seen(member: Member | None) -> tuple[tuple[int, Ballot] | None, View | None, int]:
+    if member is None:
+        return None, None, -1
+    bid = member.agreement._bid
+    named = None if bid is None else (bid.view.epoch, bid.ballot)
+    return named, member.agreement.view, member.chain.agreed
+
+
+def _bare(word: Line) -> Line:
+    return msgspec.structs.replace(word, place=0) if isinstance(word, Promise) else word
--- a/tests/lighthouse/corekit.py
+++ b/tests/lighthouse/corekit.py
@@ -10,58 +10,20 @@
 import heapq
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
 
 from brackengate.lighthouse.actions import Action, Answer, Publish, Restart, Store, Tell
-from brackengate.lighthouse.member import FIRST, Kept, Member
+from brackengate.lighthouse.member import FIRST, Member
 from brackengate.signals.words import Ask, Line
+from brackengate.soundings.disk import DiskState
 
 TICK, NET, SYNC = 50_000, 900, 600
 WINDOW = 60_000_000
 _decode = msgspec.json.Decoder(Line).decode
 
 
-@dataclass
-class DiskState:
-    inc: str = ""
-    meta: dict[str, bytes] = field(default_factory=dict)
-    rows: dict[tuple[str, str], tuple[int, bytes]] = field(default_factory=dict)
-
-    def write(self, store: Store) -> None:
-        if store.forget:
-            self.rows.clear()
-        for name, value in store.meta.items():
-            self.meta[name] = msgspec.json.encode(value)
-        for place, (kind, name, value) in store.rows:
-            if kind == "key" and value is None:
-                self.rows.pop((kind, name), None)
-            else:
-                self.rows[kind, name] = (place, msgspec.json.encode(value))
-
-    def kept(self) -> Kept:
-        def get(name: str, kind: Any, default: Any) -> Any:
-            found = msgspec.json.decode(self.meta[name], type=kind) if name in self.meta else None
-            return default if found is None else found
-
-        from brackengate.lighthouse.view import NOBODY
-        from brackengate.signals.words import Ballot, View
-
-        rows = [(k, n, place, msgspec.json.decode(value)) for (k, n), (place, value) in self.rows.items()]
-        return Kept(
-            self.inc,
-            get("place", int, 0),
-            get("lineage", int, 0),
-            get("view", View | None, None),
-            get("promised", Ballot | None, NOBODY),
-            get("taken_at", Ballot | None, None),
-            get("taken", View | None, None),
-            rows,
-        )
-
-
 class Host:
     """One machine of the core: its disk outlasts its process."""
 
