Refuse a claim only for one that is agreed

That one was lost with the view; the asker had sent its own to the new head meanwhile, and the late refusal arrived before it was stored. Its key was then held by an operation that had been told not to run.

A refusal now goes through the chain like every other answer, as an entry without rows: it is said once what it is founded on is on all disks of the view. It costs a store, as a read does. Ruled out: waiting for the other claim's place alone (a head that was replaced could go on refusing).

--- a/brackengate/lighthouse/chain.py
+++ b/brackengate/lighthouse/chain.py
@@ -228,8 +228,8 @@
                 held = self.rows.get((KEY, key))
                 if held is None or held[1] == [gate, instead]:
                     rows = [(KEY, key, [gate, attempt])]
-                elif held[1] != [gate, attempt]:
-                    return self._tell_done(addr, word.id, {"gate": held[1][0], "attempt": held[1][1]})
+                elif held[1] != [gate, attempt]:  # said once it is agreed: what is held here may yet be lost
+                    result = {"gate": held[1][0], "attempt": held[1][1]}
             case Unclaim(key, gate, attempt):
                 held = self.rows.get((KEY, key))
                 if held is not None and held[1] == [gate, attempt]:
--- a/tests/lighthouse/test_core.py
+++ b/tests/lighthouse/test_core.py
@@ -99,6 +99,21 @@
         )
         self.assertThat(answers, Equals({"k1 g1": "ok"}))
 
+    def test_nobody_is_refused_for_a_claim_that_was_never_agreed(self) -> None:
+        """A's claim stands in its memory alone, and is lost with it: B's is the one that holds."""
+        _, answers = play(
+            """
+            ms    | A              B              C
+            2000  | stall 4000
+            2010  | claim k1 g1
+            2012  |                claim k1 g2
+            2016  | down
+            4000  |                has k1
+            4000  |                               claim k1 g3
+            """
+        )
+        self.assertThat(answers, Equals({"k1 g1": "silent", "k1 g2": "ok", "k1 g3": "held by g2"}))
+
     def test_a_frozen_head_wakes_and_is_no_head_any_more(self) -> None:
         _, answers = play(
             """
