Let the search take back claims that were granted

Need: an ask that is refused and sent again may meet a key that was freed in between. Change: a bound on how many claims are taken back; links that nothing has touched are not swept again.

--- a/brackengate/cli_lab.py
+++ b/brackengate/cli_lab.py
@@ -529,6 +529,7 @@
     "spare": "Of these, machines beside the first view.  [0]",
     "enough": "Disks that hold a write before it is acknowledged.  [2]",
     "writes": "Writes of one key, by others each; with reads: versions of one service.  [1]",
+    "frees": "Writes that are taken back.  [0]",
     "reads": "Reads of the configuration.  [0]",
     "views": "The highest number of a view.  [2]",
     "bids": "Bids for a view.  [1]",
--- a/brackengate/soundings/chart.py
+++ b/brackengate/soundings/chart.py
@@ -26,7 +26,7 @@
     Whole,
 )
 from brackengate.soundings.model import Event, Model, State, carry
-from brackengate.soundings.vessel import READ, Effect, decode
+from brackengate.soundings.vessel import FREED, READ, Effect, decode
 
 WIDTH = 30
 
@@ -74,7 +74,7 @@
     other: Any = rest[0] if rest else ""
     match what:
         case "ask":
-            return "is asked to read" if other > READ else f"is asked for write {other}"
+            return f"is asked: {_asked(other)}"
         case "hear":
             return f"<- {other}: {_word(decode(model.first_line(state, other, name)))}"
     return {
@@ -98,12 +98,18 @@
         case ("tell", addr, line):
             return f"-> {addr}: {_word(decode(line))}"
         case ("answer", number, result):
-            return f"= answers {'the read' if number > READ else f'write {number}'}: {_result(result)}"
+            return f"= answers {_asked(number)}: {_result(result)}"
         case ("view", view):
             return f"= {_view(view)}" if view.epoch else ""
     return ""
 
 
+def _asked(number: int) -> str:
+    if number > READ:
+        return "read"
+    return f"take back write {number - FREED}" if number > FREED else f"write {number}"
+
+
 def _result(result: bytes) -> str:
     told: Any = msgspec.json.decode(result)
     if "gate" in told:
--- a/brackengate/soundings/model.py
+++ b/brackengate/soundings/model.py
@@ -16,6 +16,7 @@
 from brackengate.lighthouse.member import FIRST, Member
 from brackengate.signals.words import Accept, Accepted, Claim, NewView, Promise, View
 from brackengate.soundings.vessel import (
+    FREED,
     READ,
     Act,
     Effect,
@@ -42,6 +43,7 @@
     spare: int = 0  # of these, machines that stand beside the first view
     enough: int = 2  # disks that hold a write before it is acknowledged
     writes: int = 1
+    frees: int = 0  # claims that were granted are taken back
     reads: int = 0
     views: int = 2  # the highest number of a view
     bids: int = 1
@@ -71,7 +73,7 @@
     gone: frozenset[tuple[int, str]] = frozenset()  # writes that stood on a disk when it was lost
 
 
-KINDS = ("bids", "crashes", "wipes", "losses", "doubts", "pings", "repeats", "reads", "delays")
+KINDS = ("bids", "crashes", "wipes", "losses", "doubts", "pings", "repeats", "reads", "frees", "delays")
 
 
 class Cut(Exception):
@@ -119,6 +121,7 @@
         self.pairs = [(one, two) for one in self.names for two in self.names if one != two]
         self._at = {name: n for n, name in enumerate(self.names)}
         self._pair_at = {pair: len(self.names) + n for n, pair in enumerate(self.pairs)}
+        self._ends = [(pair, at, self._at[pair[1]]) for pair, at in self._pair_at.items()]
 
     # --- numbers for states
 
@@ -243,6 +246,8 @@
                 yield ("sync", name)
             if past.asked < self.bounds.writes:
                 yield ("ask", name, past.asked + 1)
+            for number in past.acked if left["frees"] and not self.waters.amends else ():
+                yield ("ask", name, FREED + number)
             if left["reads"]:
                 yield ("ask", name, READ + left["reads"])
             yield ("mend", name)
@@ -292,6 +297,8 @@
             for torn in (False, True) if crashes and not self.bounds.apart else (False,):
                 if torn and event[0] in ("power", "kill", "wipe", "lose", "start", "wait"):
                     continue  # there is no store in it, or none that this would tear
+                if torn and not self._tears(state, event):
+                    continue
                 try:
                     after = self._do(state, event, torn)
                 except Cut:
@@ -303,6 +310,18 @@
                 if after != state:
                     yield ("torn", *event) if torn else event, after, self._breach(after)
 
+    def _tears(self, state: State, event: Event) -> bool:
+        """Whether something is said before the store; else it is no more than a loss of power."""
+        what, name, *rest = event
+        number = state[self._at[name]]
+        if what == "hear":
+            act: Act = ("hear", rest[0], self.first_line(state, rest[0], name))
+        elif what == "ping":
+            return True
+        else:
+            act = ("mend", *rest) if what == "doubt" else (what, *rest)
+        return any(effect[0] != "view" for effect in self.local(number, ("torn", *act))[1])
+
     # --- one event
 
     def _do(self, state: State, event: Event, torn: bool = False) -> State:
@@ -364,7 +383,7 @@
 
     def __init__(self, model: Model, state: State) -> None:
         self.model = model
-        self.state = list(state)
+        self.state, self.before = list(state), state
         self.past = model.past(state)
         self.told: list[tuple[str, Effect]] = []  # for whoever draws it
 
@@ -394,6 +413,9 @@
             if number > READ:
                 self._spend("reads")
                 self.past = replace(self.past, reads=(*self.past.reads, (number, self.past.seen)))
+            elif number > FREED:
+                self._spend("frees")
+                self.past = replace(self.past, acked=self.past.acked - {number - FREED})
             else:
                 self.past = replace(self.past, asked=number)
             self._act(name, ("ask", number), torn)
@@ -448,14 +470,14 @@
     def _sweep(self) -> None:
         """Lines of an older epoch than their receiver's that do nothing now never will: its epoch only
         grows.  They are as good as delivered."""
-        model = self.model
-        for pair, at in model._pair_at.items():
-            number = self.state[at]
-            if number:
-                swept = model._swept.get((number, self._host(pair[1])))
+        model, state, before = self.model, self.state, self.before
+        for pair, at, host in model._ends:
+            number = state[at]
+            if number and (number != before[at] or state[host] != before[host]):
+                swept = model._swept.get((number, state[host]))
                 if swept is None:
-                    swept = model._swept[number, self._host(pair[1])] = self._sweep_link(pair)
-                self.state[at] = swept
+                    swept = model._swept[number, state[host]] = self._sweep_link(pair)
+                state[at] = swept
 
     def _sweep_link(self, pair: tuple[str, str]) -> int:
         model, host = self.model, self._host(pair[1])
@@ -495,24 +517,24 @@
         self.state[model._at[name]] = number
         for effect in effects:
             self.told.append((name, effect))
-            match effect:
-                case ("tell", addr, line):
-                    self._tell(name, addr, line)
-                case ("pong", addr):
-                    if model.facts[self._host(addr)].up:
-                        self._act(addr, ("pong", name))
-                case ("answer", asked, result):
-                    self._answered(asked, msgspec.json.decode(result))
-                case ("bid", epoch):
-                    self._spend("bids")
-                    if epoch > model.bounds.views and self.past.left[0] != FREE:
-                        raise Cut("views")
-                case ("vote", epoch):
-                    self._voted(name, epoch)
-                case ("view", view):
-                    self._agreed(view)
-                case ("tail", epoch):
-                    self._answers(name, epoch)
+            kind = effect[0]
+            if kind == "tell":
+                self._tell(name, effect[1], effect[2])
+            elif kind == "pong":
+                if model.facts[self._host(effect[1])].up:
+                    self._act(effect[1], ("pong", name))
+            elif kind == "answer":
+                self._answered(effect[1], msgspec.json.decode(effect[2]))
+            elif kind == "bid":
+                self._spend("bids")
+                if effect[1] > model.bounds.views and self.past.left[0] != FREE:
+                    raise Cut("views")
+            elif kind == "vote":
+                self._voted(name, effect[1])
+            elif kind == "view":
+                self._agreed(effect[1])
+            else:
+                self._answers(name, effect[1])
 
     def _tell(self, name: str, addr: str, line: bytes) -> None:
         model = self.model
@@ -533,6 +555,8 @@
             if found < least:
                 raise Broken(f"a read went back: it gave version {found} after version {least} was known")
             self.past = replace(past, reads=reads, seen=max(past.seen, found))
+        elif number > FREED:
+            pass
         elif result.get("ok"):
             what = ask(number, self.model.waters.amends)
             others = past.acked - {number}
--- a/brackengate/soundings/vessel.py
+++ b/brackengate/soundings/vessel.py
@@ -29,11 +29,12 @@
     Pong,
     Promise,
     Read,
+    Unclaim,
     View,
 )
 from brackengate.soundings.disk import DiskState
 
-READ = 100  # reads are numbered from here on, writes from 1
+FREED, READ = 50, 100  # writes are numbered from 1, takings back of a write and reads from here on
 WINDOW = 60_000_000
 Act = tuple[Any, ...]
 Effect = tuple[Any, ...]
@@ -64,6 +65,8 @@
 def ask(number: int, amends: bool) -> Ask:
     if number > READ:
         return Read()
+    if number > FREED:
+        return Unclaim("k", f"g{number - FREED}", "1")
     if amends:
         return Amend(f'{{"Apply":{{"Plants":[{{"Name":"p","Revision":"r{number}"}}]}}}}')
     return Claim("k", f"g{number}", "1")
