Let a refusal count only from the last time that an ask was sent

Its key is held to the window's end by an operation that was told not to run.

Each sending now has a number of its own. Success counts from any of them, as asking again does no harm; a refusal from the last one alone, behind which nothing of this ask is under way. Ruled out: only the last one's answers count (asks that take longer than the pause would never end), heads that remember numbers (a new head does not have them).

--- a/brackengate/lighthouse/chain.py
+++ b/brackengate/lighthouse/chain.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
@@ -59,6 +59,7 @@
     at: int
     sent: int
     local: int  # the carrier's number
+    numbers: list[int] = field(default_factory=list)  # one for each time that it was sent
 
 
 @dataclass(slots=True)
@@ -95,6 +96,7 @@
         self._published: dict[Name, tuple[int, Any]] = {}
         self._said_have = self._pruned = 0
         self._asks: dict[int, Pending] = {}
+        self._sent: dict[int, int] = {}  # the ask of each number
         self._last_id = (
             now  # no number of an earlier life comes again: words for those may still be under way
         )
@@ -160,8 +162,7 @@
             out += self._say_have(now)
         for ask, pending in list(self._asks.items()):
             if now - pending.at > GIVE_UP:
-                del self._asks[ask]
-                out.append(Answer(pending.local, None))
+                out.append(self._settle(ask, None))
             elif now - pending.sent > AGAIN:
                 out += self._send(ask, now)
         if now - self._pruned > PRUNE:
@@ -199,13 +200,27 @@
     def _send(self, ask: int, now: int) -> list[Action]:
         pending = self._asks[ask]
         pending.sent = now
+        self._last_id += 1
+        pending.numbers.append(self._last_id)
+        self._sent[self._last_id] = ask
+        word = Do(self._last_id, pending.what)
         if self.head == self.me:
-            return self._do(self.me, Do(ask, pending.what), now)
-        return [Tell(self.head, Do(ask, pending.what))] if self.head else []
+            return self._do(self.me, word, now)
+        return [Tell(self.head, word)] if self.head else []
 
     def _done(self, word: Done) -> list[Action]:
-        pending = self._asks.pop(word.id, None)
-        return [Answer(pending.local, word.result)] if pending is not None else []
+        ask = self._sent.get(word.id)
+        if ask is None:
+            return []
+        if word.id != self._asks[ask].numbers[-1] and ("gate" in word.result or "invalid" in word.result):
+            return []  # turned down, but it was sent again: that may come to another end
+        return [self._settle(ask, word.result)]
+
+    def _settle(self, ask: int, result: Any) -> Answer:
+        pending = self._asks.pop(ask)
+        for number in pending.numbers:
+            del self._sent[number]
+        return Answer(pending.local, result)
 
     # --- asks, at the head
 
--- a/tests/lighthouse/test_core.py
+++ b/tests/lighthouse/test_core.py
@@ -114,6 +114,20 @@
         )
         self.assertThat(answers, Equals({"k1 g1": "silent", "k1 g2": "ok", "k1 g3": "held by g2"}))
 
+    def test_a_claim_that_was_sent_twice_is_refused_only_if_both_were(self) -> None:
+        """C sleeps, so B asks anew; between its two words for k1 the key is freed, and the second holds."""
+        _, answers = play(
+            """
+            ms    | A              B              C
+            2000  | claim k1 g1
+            2100  |                               freeze 550
+            2110  |                claim k1 g2
+            2200  | free k1 g1
+            4000  |                               claim k1 g3
+            """
+        )
+        self.assertThat(answers, Equals({"k1 g1": "ok", "k1 g2": "ok", "k1 g3": "held by g2"}))
+
     def test_a_frozen_head_wakes_and_is_no_head_any_more(self) -> None:
         _, answers = play(
             """
