--- a/tests/soundings/test_search.py
+++ b/tests/soundings/test_search.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import json
 import time
 from dataclasses import replace
 
 import pytest
+from click.testing import CliRunner
 
+from brackengate.cli import main
 from brackengate.soundings.chart import draw
 from brackengate.soundings.mistakes import MISTAKES
 from brackengate.soundings.model import Bounds, Model
@@ -63,3 +66,14 @@
 def test_a_limit_is_told() -> None:
     assert search(Model(Bounds()), Limits(depth=3), time.monotonic).stopped == "depth"
     assert search(Model(replace(Bounds(), writes=0)), Limits(states=100), time.monotonic).stopped == "states"
+
+
+def test_the_command_tells_figures_and_whether_it_is_broken() -> None:
+    run = CliRunner().invoke
+    told = run(main, ["lab", "check-agreement", "--mistake", "chain-of-one", "--json"])
+    figures = json.loads(told.output)
+    assert (told.exit_code, figures["depth"], figures["bounds"]["members"]) == (5, 5, 2)
+    kept = run(main, ["lab", "check-agreement", "--members", "2", "--crashes", "0", "--doubts", "0"])
+    assert kept.exit_code == 0 and "all of it was seen" in kept.output
+    for wrong in (["--mistake", "none"], ["--spare", "3"], ["--reads", "4"]):
+        assert run(main, ["lab", "check-agreement", *wrong]).exit_code == 2
