--- a/brackengate/lighthouse/chain.py
+++ b/brackengate/lighthouse/chain.py
@@ -14,7 +14,7 @@
 
 from collections import deque
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
@@ -61,6 +61,7 @@
     at: int
     sent: int
     local: int  # the carrier's number
+    numbers: list[int] = field(default_factory=list)  # one for each time that it was sent
 
 
 @dataclass(slots=True)
@@ -97,6 +98,7 @@
         self._published: dict[Name, tuple[int, Any]] = {}
         self._said_have = self._pruned = 0
         self._asks: dict[int, Pending] = {}
+        self._sent: dict[int, int] = {}  # the ask of each number
         self._last_id = (
             now  # no number of an earlier life comes again: words for those may still be under way
         )
@@ -162,8 +164,7 @@
             out += self._say_have(now)
         for ask, pending in list(self._asks.items()):
             if now - pending.at > GIVE_UP:
-                del self._asks[ask]
-                out.append(Answer(pending.local, None))
+                out.append(self._settle(ask, None))
             elif now - pending.sent > AGAIN:
                 out += self._send(ask, now)
         if now - self._pruned > PRUNE:
@@ -201,13 +202,27 @@
     def _send(self, ask: int, now: int) -> list[Action]:
         pending = self._asks[ask]
         pending.sent = now
+        self._last_id += 1
+        pending.numbers.append(self._last_id)
+        self._sent[self._last_id] = ask
+        word = Do(self._last_id, pending.what)
         if self.head == self.me:
-            return self._do(self.me, Do(ask, pending.what), now)
-        return [Tell(self.head, Do(ask, pending.what))] if self.head else []
+            return self._do(self.me, word, now)
+        return [Tell(self.head, word)] if self.head else []
 
     def _done(self, word: Done) -> list[Action]:
-        pending = self._asks.pop(word.id, None)
-        return [Answer(pending.local, word.result)] if pending is not None else []
+        ask = self._sent.get(word.id)
+        if ask is None:
+            return []
+        if word.id != self._asks[ask].numbers[-1] and ("gate" in word.result or "invalid" in word.result):
+            return []  # turned down, but it was sent again: that may come to another end
+        return [self._settle(ask, word.result)]
+
+    def _settle(self, ask: int, result: Any) -> Answer:
+        pending = self._asks.pop(ask)
+        for number in pending.numbers:
+            del self._sent[number]
+        return Answer(pending.local, result)
 
     # --- asks, at the head
 
@@ -230,8 +245,8 @@
                 held = self.rows.get((KEY, key))
                 if held is None or held[1] == [gate, instead]:
                     rows = [(KEY, key, [gate, attempt])]
-                elif held[1] != [gate, attempt]:
-                    return self._tell_done(addr, word.id, {"gate": held[1][0], "attempt": held[1][1]})
+                elif held[1] != [gate, attempt]:  # said once it is agreed: what is held here may yet be lost
+                    result = {"gate": held[1][0], "attempt": held[1][1]}
             case Unclaim(key, gate, attempt):
                 held = self.rows.get((KEY, key))
                 if held is not None and held[1] == [gate, attempt]:
--- a/tests/lighthouse/corekit.py
+++ b/tests/lighthouse/corekit.py
@@ -11,7 +11,6 @@
 import random
 import shutil
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -21,6 +20,7 @@
 from brackengate.lighthouse.member import FIRST, Kept, Member
 from brackengate.lighthouse.store import NAME, open_disk
 from brackengate.signals.words import Ask, Line
+from brackengate.soundings.disk import DiskState
 from standins.mesh import spoil
 
 TICK, NET, SYNC = 50_000, 900, 600
@@ -28,44 +28,6 @@
 _decode = msgspec.json.Decoder(Line).decode
 
 
-@dataclass
-class DiskState:
-    inc: str = ""
-    meta: dict[str, bytes] = field(default_factory=dict)
-    rows: dict[tuple[str, str], tuple[int, bytes]] = field(default_factory=dict)
-
-    def write(self, store: Store) -> None:
-        if store.forget:
-            self.rows.clear()
-        for name, value in store.meta.items():
-            self.meta[name] = msgspec.json.encode(value)
-        for place, (kind, name, value) in store.rows:
-            if kind == "key" and value is None:
-                self.rows.pop((kind, name), None)
-            else:
-                self.rows[kind, name] = (place, msgspec.json.encode(value))
-
-    def kept(self) -> Kept:
-        def get(name: str, kind: Any, default: Any) -> Any:
-            found = msgspec.json.decode(self.meta[name], type=kind) if name in self.meta else None
-            return default if found is None else found
-
-        from brackengate.lighthouse.view import NOBODY
-        from brackengate.signals.words import Ballot, View
-
-        rows = [(k, n, place, msgspec.json.decode(value)) for (k, n), (place, value) in self.rows.items()]
-        return Kept(
-            self.inc,
-            get("place", int, 0),
-            get("lineage", int, 0),
-            get("view", View | None, None),
-            get("promised", Ballot | None, NOBODY),
-            get("taken_at", Ballot | None, None),
-            get("taken", View | None, None),
-            rows,
-        )
-
-
 class FileState:
     """A disk that is a real store.  What a process leaves is copied to a folder of the next one's."""
 
