Let a pilot be ready only once there is a configuration

It asked whether it had a place in the log; now whether it has any item. Until then it is not ready, and says 503 with when to come back.

--- a/brackengate/pilot/table.py
+++ b/brackengate/pilot/table.py
@@ -25,7 +25,8 @@
 
     @property
     def known(self) -> bool:
-        return self.place >= 0
+        """Whether there is a configuration: without one, nothing can be said of any request."""
+        return bool(self._items)
 
     def snapshot(self, place: int, rows: Iterable[Row]) -> set[str]:
         """As `changes`, and what is not named is gone.  An older one than what is held is left alone."""
--- a/tests/pilot/test_deciders.py
+++ b/tests/pilot/test_deciders.py
@@ -36,6 +36,15 @@
         self.assertThat([one.name if one else None for one in found], Equals(["ab", "a", "ab", None, None]))
         self.assertThat(table.find("other.example", "/a/b"), Equals(None))
 
+    def test_without_any_item_there_is_no_configuration(self) -> None:
+        """A core that has just begun is followed, and has nothing yet."""
+        table, one = Table(), {"id": "i-1", "plant": "p", "zone": "z", "state": "ready"}
+        known = [table.known]
+        table.snapshot(3, [("inst", "10.0.0.1", one)])
+        known.append(table.known)
+        table.changes(4, [route("a", "/a/", 1)])
+        self.assertThat([*known, table.known], Equals([False, False, True]))
+
     def test_no_item_goes_back_whichever_lighthouse_says_so(self) -> None:
         table = Table()
         table.snapshot(5, [route("a", "/new/", 7)])
