Notice a lost lighthouse 0.1 to 0.3 s sooner, by members and by pilots

Need: claims of a zone whose lighthouse has lost power wait for the view to be mended and for their pilots to go elsewhere: 0.6 s and up to 1.15 s. Members ping each 0.15 s and take 0.5 s of silence for an end (a process that stood still for 0.35 s believes nothing of the others); followers hear something each 0.15 s, and leave after 0.6 s.

Drawn faults and timelines of the core pass as before.

--- a/brackengate/lighthouse/role.py
+++ b/brackengate/lighthouse/role.py
@@ -42,7 +42,7 @@
 log = logging.getLogger("brackengate.lighthouse")
 
 TICK_S = 0.05
-BEAT = 300_000  # a follower hears something at least so often
+BEAT = 150_000  # a follower hears something at least so often, give or take a tick
 SLOW = 400_000  # a disk that takes longer over a write is not fit for a seat
 RETRY_S = 0.3  # a write that failed is tried again
 
--- a/brackengate/lighthouse/view.py
+++ b/brackengate/lighthouse/view.py
@@ -32,9 +32,9 @@
     WantView,
 )
 
-PING = 200_000
-DEAD = 600_000  # without an answer to a ping
-GAP = 450_000  # this process stood still: nothing that it believes of the others is fresh
+PING = 150_000
+DEAD = 500_000  # without an answer to a ping
+GAP = 350_000  # this process stood still: nothing that it believes of the others is fresh
 RANK = 400_000  # each seat in front gets this long to do the duty
 BID = 500_000  # a bid without an outcome is made anew
 APART = 500_000  # two that do not hear each other for so long, by their own word
--- a/brackengate/pilot/follow.py
+++ b/brackengate/pilot/follow.py
@@ -34,7 +34,8 @@
 
 log = logging.getLogger("brackengate.follow")
 
-SILENT = 900_000  # a member beats every 0.3 s
+SILENT = 600_000  # a member beats every 0.15 to 0.2 s
+LOOK_S = 0.15  # between two looks whether it has gone silent
 PAUSE_S = 0.1
 HOME_S = 4.0  # between two looks whether a nearer member is there again
 
@@ -171,7 +172,7 @@
     def _watch(self) -> None:
         if self._closed:
             return
-        self._loop.call_later(0.25, self._watch)
+        self._loop.call_later(LOOK_S, self._watch)
         for link in (self._link, self._home):
             if link is not None and self.now() - link.heard > SILENT:
                 self.lost(link, "silence")
