--- a/benchmarks/mesh.py
+++ b/benchmarks/mesh.py
@@ -26,7 +26,7 @@
 from brackengate.pilot.hop import Said
 from brackengate.pilot.wake import Wake
 from brackengate.signals.words import Row
-from standins.mesh import Machine, Mesh, call
+from standins.mesh import LONG, Machine, Mesh, call
 
 REQUESTS = 1500
 AT_ONCE = 16
@@ -56,6 +56,18 @@
     return sum(machine.cpu_s() for machine in machines if machine.process is not None)
 
 
+async def long(mesh: Mesh, count: int = 10) -> tuple[float, float]:
+    """Of one long answer, one after the other: seconds, and processor seconds of all pilots."""
+    begun, before = time.perf_counter(), cpu(mesh.sides)
+    for n in range(count):
+        status, _, body = await mesh.request(
+            mesh.sides[n % len(mesh.sides)], "/read/long", attempt=f"long{n}"
+        )
+        if (status, len(body)) != (200, LONG):
+            raise SystemExit(f"a long answer came as {status}, {len(body)} bytes")
+    return (time.perf_counter() - begun) / count, (cpu(mesh.sides) - before) / count
+
+
 async def spread(mesh: Mesh, n: int) -> tuple[float, float]:
     """Of a new route: seconds until it is acknowledged, and from there until the last pilot has it."""
     begun = time.perf_counter()
@@ -153,6 +165,9 @@
                     f"{kind}: {REQUESTS / took:.0f} a second; pilots {side / REQUESTS * 1e3:.2f} ms a request"
                     f" (two hops), lighthouses {core / REQUESTS * 1e3:.2f} ms"
                 )
+            took, side = await long(mesh)
+            mb = LONG / 1e6
+            print(f"an answer of {mb:.0f} MB: {mb / took:.0f} MB/s, pilots {side / mb * 1e3:.1f} ms a MB")
             news = [await spread(mesh, n) for n in range(rounds * 4)]
             for which, what in enumerate(("acknowledged", "then on the last pilot")):
                 ms = sorted(times[which] * 1e3 for times in news)
