Let the mesh's roles stand on a ground that is passed in

Need: the laboratory is to play pilots and lighthouses as they are, on emulated machines.

The roles made their own clock, random numbers, listening sockets and thread for the disk, and set signal handlers as they ran. Weighed: a second copy of the roles' wiring for the emulator (would drift); patching modules in the emulator (nobody sees it in the roles). Taken: net/ground.py, which stands for this already, gets the clock, the steady clock and bind; the lighthouse's disk and its thread are behind store.Drive; signals and the collector's freeze move to serve(). Defaults are the machine's own, so that nothing changes there.

--- a/brackengate/lighthouse/role.py
+++ b/brackengate/lighthouse/role.py
@@ -5,21 +5,20 @@
 import asyncio
 import contextlib
 import logging
-import os
+import random
 import signal
 import sqlite3
-import time
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from typing import Any
 
 from brackengate.lighthouse.actions import Action, Answer, Publish, Restart, Store, Tell
 from brackengate.lighthouse.control import Control
 from brackengate.lighthouse.member import FIRST, Kept, Member
-from brackengate.lighthouse.store import BadDisk, Disk
+from brackengate.lighthouse.store import BadDisk, Drive, Waits
+from brackengate.net.ground import Ground
 from brackengate.net.node import Clock
-from brackengate.net.sockets import Address, bind
+from brackengate.net.sockets import Address
 from brackengate.signals.door import listener
 from brackengate.signals.lines import Dialer, Lines, encoded
 from brackengate.signals.settings import Settings, plain
@@ -54,16 +53,17 @@
 
 
 class Lighthouse:
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, ground: Ground | None = None, drive: Waits | None = None) -> None:
+        """`ground`, `drive`: what it stands on, and its disk; by default the machine's."""
         self.settings = settings
-        self._loop = asyncio.get_running_loop()
-        self.clock = Clock()
+        ground = ground or Ground(asyncio.get_running_loop(), random.Random())
+        self._loop, self._rng, self._bind, self.now = ground.loop, ground.rng, ground.bind, ground.steady
+        self.clock = ground.clock or Clock()
         control = plain(settings.listen.control, "Control")
         self.me = f"{control[0]}:{control[1]}"
         self._port = settings.lighthouse_port
         self._left: asyncio.Future[int] = self._loop.create_future()
-        self._threads = ThreadPoolExecutor(1)
-        self._disk: Disk | None = None
+        self._drive: Waits = drive or Drive(settings.data_dir or ".")
         self.member: Member
         self._links: dict[str, Dialer] = {}
         self._queue: list[Store] = []
@@ -76,16 +76,9 @@
         self._inner: asyncio.Server | None = None
         self._ticker: asyncio.TimerHandle | None = None
 
-    @staticmethod
-    def now() -> int:
-        return time.monotonic_ns() // 1000
-
     # --- life
 
     async def run(self) -> int:
-        for number in (signal.SIGTERM, signal.SIGINT):
-            self._loop.add_signal_handler(number, self._stop)
-        self._loop.add_signal_handler(signal.SIGHUP, lambda: None)
         kept = await self._open_disk()
         settings, now = self.settings, self.now()
         first = settings.initial_start and kept.inc == FIRST
@@ -96,7 +89,7 @@
             lambda: Lines(self._on_line, self._on_open, self._on_lost), settings.ip, self._port
         )
         server = listener(
-            self._loop, self.clock, [bind(plain(settings.listen.control, "Control"))], Control(self)
+            self._loop, self.clock, [self._bind(plain(settings.listen.control, "Control"))], Control(self)
         )
         server.start()
         view, chain = self.member.agreement.view, self.member.chain
@@ -114,22 +107,20 @@
         finally:
             server.close()
 
-    def _stop(self) -> None:
+    def stop(self) -> None:
         if not self._left.done():
             self._left.set_result(0)
 
     async def _open_disk(self) -> Kept:
         settings = self.settings
-        inc = FIRST if settings.initial_start else os.urandom(6).hex()
-        folder = settings.data_dir or "."
+        inc = FIRST if settings.initial_start else f"{self._rng.getrandbits(48):012x}"
         while True:
             try:
-                self._disk = await self._loop.run_in_executor(self._threads, Disk, folder)
-                return await self._loop.run_in_executor(self._threads, self._disk.read, inc)
+                return await self._drive.open(inc)
             except BadDisk:
                 raise
             except (OSError, sqlite3.Error) as error:
-                log.error("store: step open, folder %s: %s; tried again", folder, error)
+                log.error("store: step open, folder %s: %s; tried again", settings.data_dir, error)
                 await asyncio.sleep(RETRY_S)
 
     def _tick(self) -> None:
@@ -176,8 +167,7 @@
     def _write(self) -> None:
         batch, self._queue = self._queue, []
         self._writing_since = self.now()
-        assert self._disk is not None
-        future = self._loop.run_in_executor(self._threads, self._disk.write, batch)
+        future = self._drive.write(batch)
         future.add_done_callback(lambda done: self._written(batch, done))
 
     def _written(self, batch: list[Store], done: asyncio.Future[None]) -> None:
@@ -298,7 +288,10 @@
 
 
 async def serve(settings: Settings) -> int:
-    lighthouse = Lighthouse(settings)
+    lighthouse, loop = Lighthouse(settings), asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, lighthouse.stop)
+    loop.add_signal_handler(signal.SIGHUP, lambda: None)
     with contextlib.suppress(asyncio.CancelledError):
         return await lighthouse.run()
     return 0
--- a/brackengate/lighthouse/store.py
+++ b/brackengate/lighthouse/store.py
@@ -7,11 +7,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 import sqlite3
 from collections.abc import Iterable
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 
@@ -105,3 +107,30 @@
             os.fsync(handle)
         finally:
             os.close(handle)
+
+
+class Waits(Protocol):
+    """A disk as a member uses it: one call after the other, none of which holds up the loop."""
+
+    async def open(self, inc: str) -> Kept:
+        """All that is there; OSError, sqlite3.Error or BadDisk as of `Disk`.  May be tried again."""
+
+    def write(self, stores: list[Store]) -> asyncio.Future[None]:
+        """Done once all of it is on the disk; it has the error where it can't be."""
+
+
+class Drive:
+    """The folder's disk, and the thread that waits for it."""
+
+    def __init__(self, folder: str) -> None:
+        self._folder, self._threads = folder, ThreadPoolExecutor(1)
+        self._disk: Disk | None = None
+
+    async def open(self, inc: str) -> Kept:
+        loop = asyncio.get_running_loop()
+        disk = self._disk = await loop.run_in_executor(self._threads, Disk, self._folder)
+        return await loop.run_in_executor(self._threads, disk.read, inc)
+
+    def write(self, stores: list[Store]) -> asyncio.Future[None]:
+        assert self._disk is not None
+        return asyncio.get_running_loop().run_in_executor(self._threads, self._disk.write, stores)
--- a/brackengate/net/ground.py
+++ b/brackengate/net/ground.py
@@ -5,10 +5,20 @@
 import asyncio
 import random
 import socket
+import time
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
-from brackengate.net.sockets import Address
+from brackengate.net.sockets import Address, bind
+
+if TYPE_CHECKING:
+    from brackengate.net.node import Clock
+
+
+def steady_us() -> int:
+    """Microseconds of the machine's clock that never steps."""
+    return time.monotonic_ns() // 1000
 
 
 class Wire(Protocol):
@@ -26,6 +36,9 @@
     loop: asyncio.AbstractEventLoop
     rng: random.Random  # whence secrets and all other seeds are drawn
     wire: Wire | None = None  # None: the machine's clock and sockets
+    clock: Clock | None = None  # of requests and deadlines; None: the machine's own
+    steady: Callable[[], int] = steady_us  # microseconds; the same through all lives of a process
+    bind: Callable[[Address], socket.socket] = bind  # OSError where an address cannot be had
 
     @classmethod
     def machine(cls) -> Ground:
--- a/brackengate/pilot/entry.py
+++ b/brackengate/pilot/entry.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import logging
-import secrets
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -111,18 +110,16 @@
         ask: Callable[[Ask, Callable[[Any], None], float], None],
         peers: Pool,
         address_of: Callable[[str], Address],
+        life: str,
     ) -> None:
         """`pool`: to the upstream alone.  `peers`: to other pilots.  `me`: this machine's name among
-        gates."""
+        gates.  `life`: of this process, like no other's: a claim of an earlier one is not ours."""
         self._loop, self._clock, self._pool, self._gate = loop, clock, pool, gate
         self._me, self._application, self._ask = me, application, ask
         self._peers, self._address_of = peers, address_of
         self.load = Load()
         self._operations = Operations(window, KEPT_BYTES)
-        self._life, self._count = (
-            secrets.token_hex(6),
-            0,
-        )  # of this process: a claim of an earlier one is not ours
+        self._life, self._count = life, 0
         self.visits: set[Visit] = set()
 
     def begin(self, arrival: Arrival, connection: CallerConnection) -> None:
--- a/brackengate/pilot/role.py
+++ b/brackengate/pilot/role.py
@@ -14,13 +14,14 @@
 import random
 import resource
 import signal
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
+from brackengate.net.ground import Ground
 from brackengate.net.node import Clock
 from brackengate.net.server import Server
-from brackengate.net.sockets import Address, SocketBudget, bind
+from brackengate.net.sockets import Address, SocketBudget
 from brackengate.net.upstream import Pool
 from brackengate.pilot.beats import Beats
 from brackengate.pilot.entry import Entry, own_judge
@@ -45,12 +46,17 @@
 
 
 class Pilot:
-    def __init__(self, settings: Settings, path: str) -> None:
-        self.settings, self._path = settings, path
-        loop = self._loop = asyncio.get_running_loop()
-        clock = self.clock = Clock()
-        rng = random.Random()
-        self._left: asyncio.Future[int] = loop.create_future()
+    def __init__(
+        self, settings: Settings, read: Callable[[], Settings], ground: Ground | None = None
+    ) -> None:
+        """`read`: the settings as the file has them by now; BadSettings where it can't be used.  `ground`:
+        what it stands on; by default the machine."""
+        self.settings, self._read = settings, read
+        ground = ground or Ground(asyncio.get_running_loop(), random.Random())
+        loop, rng, bind = ground.loop, ground.rng, ground.bind
+        self._loop = loop
+        clock = self.clock = ground.clock or Clock()
+        self.left: asyncio.Future[int] = loop.create_future()  # done with 0 once it has left in order
         self._leaving = False
         descriptors = min(
             settings.limits.file_limit - 250, resource.getrlimit(resource.RLIMIT_NOFILE)[0] - 100
@@ -60,8 +66,9 @@
         self._port = inbound[1]
         self.table = Table()
         self.gate = Gate(settings.zone, settings.feedback, settings.bounds.drain)
-        self._gates = Pool(loop, self._budget, CONNECT_S, IDLE_S, judge=judge, settle=0)
-        self._own = Pool(loop, self._budget, CONNECT_S, IDLE_S, judge=own_judge)
+        wire = ground.wire
+        self._gates = Pool(loop, self._budget, CONNECT_S, IDLE_S, wire=wire, judge=judge, settle=0)
+        self._own = Pool(loop, self._budget, CONNECT_S, IDLE_S, wire=wire, judge=own_judge)
         self.following = Following(
             settings.ip,
             settings.zone,
@@ -71,7 +78,7 @@
             self._changed,
             clock.now,
         )
-        self.way = WayOut(loop, clock, self._budget, self.table, settings.plant, self._address_of, rng)
+        self.way = WayOut(loop, clock, self._budget, self.table, settings.plant, self._address_of, rng, wire)
         self.entry = Entry(
             loop,
             clock,
@@ -83,6 +90,7 @@
             self.following.ask,
             self._gates,
             self._address_of,
+            f"{rng.getrandbits(48):012x}",
         )
         listen = settings.listen
         self._clients = listener(
@@ -109,30 +117,28 @@
     def _address_of(self, machine: str) -> Address:
         return machine, self._port
 
+    def reread(self) -> None:
+        """The settings file has changed."""
+        self._seeds()
+
     def _seeds(self) -> Iterable[str]:
         """As the file names them now: they may have changed without a signal."""
         try:
-            self.settings = files.load(self._path)
+            self.settings = self._read()
         except BadSettings as error:
             log.warning("pilot: the settings stay as they are: %s", error)
         return [f"{host}:{port}" for host, port in self.settings.seeds]
 
     # --- life
 
-    async def run(self) -> int:
-        for number in (signal.SIGTERM, signal.SIGINT):
-            self._loop.add_signal_handler(number, self._stop)
-        self._loop.add_signal_handler(signal.SIGHUP, self._seeds)
+    def start(self) -> None:
         self.following.start()
         for server in (self._clients, self._gate_door, *self._others):
             server.start()
         self._report()
-        gc.collect()
-        gc.freeze()
         log.info("pilot: %s is up beside %s", self.settings.ip, self.settings.plant or "nobody")
-        return await self._left
 
-    def _stop(self) -> None:
+    def stop(self) -> None:
         """Leave in order: clients and pilots are asked to go, what is held is answered, then the end."""
         if self._leaving:
             return
@@ -162,8 +168,8 @@
             return
         log.info("pilot: left, with %d requests held", held)
         self.following.close()
-        if not self._left.done():
-            self._left.set_result(0)
+        if not self.left.done():
+            self.left.set_result(0)
 
     # --- the upstream beside it
 
@@ -216,4 +222,11 @@
 
 
 async def serve(settings: Settings, path: str) -> int:
-    return await Pilot(settings, path).run()
+    pilot, loop = Pilot(settings, lambda: files.load(path)), asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, pilot.stop)
+    loop.add_signal_handler(signal.SIGHUP, pilot.reread)
+    pilot.start()
+    gc.collect()
+    gc.freeze()
+    return await pilot.left
--- a/brackengate/pilot/way.py
+++ b/brackengate/pilot/way.py
@@ -25,6 +25,7 @@
     RequestClass,
     Settings,
 )
+from brackengate.net.ground import Wire
 from brackengate.net.http import CallerConnection
 from brackengate.net.node import OVERDUE, REFUSED, Clock, Message, Node, Reply
 from brackengate.net.sockets import Address, SocketBudget
@@ -109,11 +110,17 @@
     """The upstreams of one service, and the module that chooses among them."""
 
     def __init__(
-        self, name: str, loop: asyncio.AbstractEventLoop, clock: Clock, budget: SocketBudget, seed: int
+        self,
+        name: str,
+        loop: asyncio.AbstractEventLoop,
+        clock: Clock,
+        budget: SocketBudget,
+        seed: int,
+        wire: Wire | None,
     ) -> None:
         self.name, self._clock = name, clock
         self.pool = Pool(
-            loop, budget, CONNECT_S, IDLE_S, judge=judge, settle=0
+            loop, budget, CONNECT_S, IDLE_S, wire=wire, judge=judge, settle=0
         )  # a node's list is its pool's
         settings = Settings(
             classes=(),
@@ -171,10 +178,13 @@
         plant: str,
         address_of: Callable[[str], Address],
         rng: random.Random,
+        wire: Wire | None = None,
     ) -> None:
-        """`plant`: the service beside this pilot.  `address_of`: where the pilot of a machine is reached."""
+        """`plant`: the service beside this pilot.  `address_of`: where the pilot of a machine is reached.
+        `wire`: as of a pool."""
         self._loop, self._clock, self._budget, self._table = loop, clock, budget, table
         self._plant, self._address_of, self._rng = plant.encode(), address_of, rng
+        self._wire = wire
         self.services: dict[str, Service] = {}
         self._count = 0
 
@@ -190,7 +200,9 @@
             for name in classes:
                 if name not in self.services:
                     seed = self._rng.getrandbits(64)
-                    self.services[name] = Service(name, self._loop, self._clock, self._budget, seed)
+                    self.services[name] = Service(
+                        name, self._loop, self._clock, self._budget, seed, self._wire
+                    )
             for name, service in self.services.items():
                 service.classes(classes.get(name, {}))
         rows: dict[str, list[tuple[str, Instance, Address]]] = {}
--- a/tests/pilot/test_entry.py
+++ b/tests/pilot/test_entry.py
@@ -127,6 +127,7 @@
             ask,
             self.gates,  # type: ignore[arg-type]
             lambda machine: (machine, 2),
+            "life",
         )
 
     def comes(self, key: str = "", replay: bool = False, left: int = 1000, attempt: str = "t1") -> Connection:
