Play the mesh in simulated time: roles as they are, rules from what is seen

Ruled out: a model of sqlite's files (its log's checksums make a commit whole or absent, which is what is modelled); patching asyncio (setting the running loop is what asyncio offers for it).

--- a/brackengate/cli_lab.py
+++ b/brackengate/cli_lab.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+import re
 import time
 from pathlib import Path
 from typing import Any
@@ -16,6 +17,7 @@
 log = logging.getLogger("brackengate.lab")
 
 BROKEN = 5
+MESH = re.compile(r'^kind *= *"mesh"', re.MULTILINE)
 
 
 @click.group()
@@ -50,18 +52,21 @@
     \b
     Example: brackengate lab run examples/lab/kill-and-roll.toml --seed 3 --chart run.svg
     """
-    from brackengate.emulator import report
-    from brackengate.emulator.play import play
+    from brackengate.emulator import hunt, report
 
     if chart is not None and Path(chart).suffix not in (".svg", ".png"):
         fail(f"--chart: {chart!r} has no ending that can be drawn; allowed: .svg, .png", BAD)
     told = _scenario(scenario, sets)
+    if sockets and not hasattr(told, "balancers"):
+        fail(
+            "--sockets: the mesh on real sockets is `python -m benchmarks.mesh`; allowed: installations", BAD
+        )
     seed = told.found.seed if seed is None else seed
     if sockets:
         _on_sockets(told, seed, chart, as_json)
         return
     begun = time.monotonic()
-    played = play(told, seed)
+    played = hunt.game(told).play(told, seed)
     lasted = time.monotonic() - begun
     world, found, summary = played.world, played.found, played.summary
     try:
@@ -240,11 +245,16 @@
 
 
 def _scenario(path: str, sets: tuple[str, ...] = ()) -> Any:
-    from brackengate.emulator.scenario import changed, load
+    from brackengate.emulator import scenario
     from brackengate.installation.reading import BadFile, read_text
 
     try:
-        return changed(read_text(path), path, sets) if sets else load(path)
+        text = read_text(path)
+        if MESH.search(text) is None:
+            return scenario.changed(text, path, sets)
+        from brackengate.emulator.mesh.scenario import changed
+
+        return changed(text, path, sets)
     except BadFile as error:
         fail(f"the scenario cannot be used:\n{error}", BAD)
 
@@ -362,12 +372,12 @@
     \b
     Example: brackengate lab replay examples/lab/cold-in-a-flood.toml
     """
-    from brackengate.emulator.play import play
+    from brackengate.emulator import hunt
 
     broken = False
     for case in cases:
         told = _scenario(case)
-        played = play(told, told.found.seed)
+        played = hunt.game(told).play(told, told.found.seed)
         now, before = set(played.rules), set(told.found.rules)
         words = [f"still broken: {rule}" for rule in sorted(now & before)]
         words += [f"newly broken: {rule}" for rule in sorted(now - before)]
--- a/brackengate/emulator/hunt.py
+++ b/brackengate/emulator/hunt.py
@@ -33,13 +33,34 @@
     rules: tuple[str, ...] = ()
 
 
-def judge(told: Scenario, seed: int) -> tuple[Score, Played]:
+@dataclass(frozen=True, slots=True)
+class Game:
+    """A kind of scenario, as playing, search and shrinking need it."""
+
+    play: Callable[[Any, int], Any]
+    faults_of: Callable[[Any], list[Any]]
+    mutated: Callable[[Any, random.Random], Any]
+    features: Callable[[Any, Any], frozenset[str]]
+    smaller: Callable[[Any], Iterable[Any]]
+
+
+def game(told: Any) -> Game:
+    """An installation's, or the mesh's."""
+    if isinstance(told, Scenario):
+        return Game(play, faults_of, mutated, features, smaller)
+    from brackengate.emulator.mesh import hunt, scenario
+    from brackengate.emulator.mesh.play import play as play_mesh
+
+    return Game(play_mesh, scenario.faults_of, hunt.mutated, hunt.features, hunt.smaller)
+
+
+def judge(told: Any, seed: int) -> tuple[Score, Any]:
     """Play it once."""
-    played = play(told, seed)
+    played = game(told).play(told, seed)
     return Score(played.breaches, round(1 - played.worth, 6), played.rules), played
 
 
-def same_rules(rules: Iterable[str]) -> Callable[[Score, Played], bool]:
+def same_rules(rules: Iterable[str]) -> Callable[[Score, Any], bool]:
     """Whether one of these is still broken."""
     wanted = set(rules)
     return lambda score, played: bool(wanted & set(score.rules))
@@ -105,33 +126,33 @@
 
 
 def search(
-    told: Scenario,
+    told: Any,
     seed: int,
     runs: int,
-    heard: Callable[[int, Scenario, Score], None] = lambda run, worst, score: None,
-    kinds: dict[tuple[str, ...], Scenario] | None = None,
-) -> tuple[Scenario, Score]:
+    heard: Callable[[int, Any, Score], None] = lambda run, worst, score: None,
+    kinds: dict[tuple[str, ...], Any] | None = None,
+) -> tuple[Any, Score]:
     """The worst schedule of `runs` that were played, the scenario's own among them.
 
     Gone on from are the worst, and those that did what none before them had done.  `heard` is told after each
     of the worst so far: what was found outlasts a stop.  `kinds` gets the first of each kind of breach.
     """
     rng = random.Random(f"{seed}/search")
-    score, played = judge(told, seed)
-    kept, seen, novel = [(score, told)], set(features(told, played)), [told]
+    kind, (score, played) = game(told), judge(told, seed)
+    kept, seen, novel = [(score, told)], set(kind.features(told, played)), [told]
     kinds = {} if kinds is None else kinds
     for run in range(1, runs):
         if rng.random() < NOVEL:
             parent = rng.choice(novel)
         else:
             parent = kept[min(len(kept) - 1, int(rng.expovariate(1.0)))][1]  # mostly from the worst
-        child = mutated(parent, rng)
-        if faults_of(child):
+        child = kind.mutated(parent, rng)
+        if kind.faults_of(child):
             continue
         score, played = judge(child, seed)
         if score.rules:
             kinds.setdefault(score.rules, child)
-        new = features(child, played) - seen
+        new = kind.features(child, played) - seen
         if new:
             seen |= new
             novel = [*novel, child][-NOVEL_KEPT:]
@@ -173,20 +194,20 @@
 
 
 def shrink(
-    told: Scenario,
+    told: Any,
     seed: int,
-    still: Callable[[Score, Played], bool],
+    still: Callable[[Score, Any], bool],
     most: int = 400,
-    heard: Callable[[int, Scenario], None] = lambda run, least: None,
-) -> tuple[Scenario, int]:
+    heard: Callable[[int, Any], None] = lambda run, least: None,
+) -> tuple[Any, int]:
     """The smallest that `still` shows it, by steps that each do, and how many runs that took.
 
     `heard` is told of each step that held.
     """
-    runs = 0
+    runs, kind = 0, game(told)
     while True:
-        for less in smaller(told):
-            if faults_of(less):
+        for less in kind.smaller(told):
+            if kind.faults_of(less):
                 continue
             if runs >= most:
                 return told, runs
--- /dev/null
+++ b/brackengate/emulator/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""The mesh in simulated time: pilots and lighthouses as they are, on emulated machines."""
--- /dev/null
+++ b/brackengate/emulator/mesh/disk.py
@@ -0,0 +1,135 @@
+"""A core machine's disk: what is synced outlasts a loss of power, what is under way may or may not.
+
+It stands behind the seam of `lighthouse/store.py`, in place of sqlite and its thread.  A commit is one write
+and one sync; its log's checksums leave out what is torn, so that a commit is there whole or not at all.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import sqlite3
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+import msgspec
+
+from brackengate.emulator.loop import Loop
+from brackengate.emulator.mesh.ground import RoleProcess
+from brackengate.lighthouse.actions import Store
+from brackengate.lighthouse.member import FIRST, Kept
+from brackengate.lighthouse.view import NOBODY
+from brackengate.signals.words import Ballot, View
+
+TOLD = 60  # from a sync to its process's next step, in microseconds
+
+
+class EmulatedDisk:
+    """Of one machine, through all its processes."""
+
+    def __init__(self, loop: Loop, rng: random.Random, sync: int) -> None:
+        """`sync`: microseconds for a commit."""
+        self.loop, self._rng, self.sync = loop, rng, sync
+        self.stalled = self.full = 0  # until then
+        self.synced: Callable[[list[Store]], None] = lambda stores: None  # who looks on
+        self.writes = 0
+        self.wipe()
+
+    def wipe(self) -> None:
+        self._meta: dict[str, bytes] = {}
+        self._rows: dict[tuple[str, str], tuple[int, bytes]] = {}
+        self._under_way: list[Store] | None = None
+        self._life = object()  # of what is under way
+
+    def begin(self, stores: list[Store], done: Callable[[Exception | None], None]) -> None:
+        """`done` is called once it is on the disk, or can't be."""
+        if self.full > self.loop.now:
+            error = sqlite3.OperationalError("database or disk is full")
+            self.loop.after(self.sync, partial(done, error))
+            return
+        self._under_way = stores
+        takes = max(0, self.stalled - self.loop.now) + int(self.sync * self._rng.uniform(0.8, 1.6))
+        self.loop.after(takes, partial(self._sync, self._life, stores, done))
+
+    def _sync(self, life: object, stores: list[Store], done: Callable[[Exception | None], None]) -> None:
+        if life is not self._life:
+            return
+        if self.stalled > self.loop.now:
+            self.loop.after(self.stalled - self.loop.now + self.sync, partial(self._sync, life, stores, done))
+            return
+        self._under_way = None
+        self._apply(stores)
+        self.loop.after(TOLD, partial(done, None))
+        self.synced(stores)
+
+    def ends(self, power: bool) -> None:
+        """The process dies, or the machine loses power: what is under way is there whole, or torn or lost.
+
+        Without power it is lost in half of the cases; otherwise the kernel still has what was written.
+        """
+        stores, self._under_way, self._life = self._under_way, None, object()
+        if stores is not None and self._rng.random() < (0.5 if power else 0.8):
+            self._apply(stores)
+
+    def _apply(self, stores: list[Store]) -> None:
+        self.writes += 1
+        encode = msgspec.json.encode
+        for store in stores:
+            if store.forget:
+                self._rows.clear()
+            for name, value in store.meta.items():
+                self._meta[name] = encode(value)
+            for place, (kind, name, value) in store.rows:
+                if kind == "key" and value is None:
+                    self._rows.pop((kind, name), None)
+                else:
+                    self._rows[kind, name] = (place, encode(value))
+
+    def read(self, inc: str) -> Kept:
+        """As of `lighthouse.store.Disk.read`."""
+        held = self._read("inc", str)
+        if held is None or (held == FIRST != inc and self._read("view", View) is None):
+            self._meta["inc"] = msgspec.json.encode(inc)
+            held = inc
+        decode = msgspec.json.decode
+        return Kept(
+            held,
+            self._read("place", int) or 0,
+            self._read("lineage", int) or 0,
+            self._read("view", View),
+            self._read("promised", Ballot) or NOBODY,
+            self._read("taken_at", Ballot),
+            self._read("taken", View),
+            [(kind, name, place, decode(value)) for (kind, name), (place, value) in self._rows.items()],
+        )
+
+    def _read(self, name: str, kind: Any) -> Any:
+        found = self._meta.get(name)
+        return msgspec.json.decode(found, type=kind | None) if found is not None else None
+
+
+class EmulatedDrive:
+    """The disk as one process uses it."""
+
+    def __init__(self, disk: EmulatedDisk, process: RoleProcess) -> None:
+        self._disk, self._process = disk, process
+
+    async def open(self, inc: str) -> Kept:
+        while self._disk.stalled > self._disk.loop.now:
+            await asyncio.sleep((self._disk.stalled - self._disk.loop.now) / 1e6)
+        if self._disk.full > self._disk.loop.now and self._disk.writes == 0:
+            raise sqlite3.OperationalError("database or disk is full")
+        return self._disk.read(inc)
+
+    def write(self, stores: list[Store]) -> asyncio.Future[None]:
+        future: asyncio.Future[None] = self._process.create_future()
+
+        def done(error: Exception | None) -> None:
+            if error is not None:
+                future.set_exception(error)
+            else:
+                future.set_result(None)
+
+        self._disk.begin(stores, lambda error: self._process.enter(partial(done, error)))
+        return future
--- /dev/null
+++ b/brackengate/emulator/mesh/faults.py
@@ -0,0 +1,201 @@
+"""What goes wrong with a mesh, and when."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from functools import partial
+
+from brackengate.emulator.loop import MS, S
+from brackengate.emulator.mesh.scenario import Fault
+from brackengate.emulator.mesh.world import BACK, CALM, Machine, World
+from brackengate.lighthouse.actions import Store
+
+OVERLAP = 6 * S  # a machine of the core goes so long after the one that takes its place has come
+CRASHED = S  # from an upstream's crash to its next life
+
+
+def schedule(world: World) -> Iterable[Callable[[], None]]:
+    """Times of faults are counted from the first request."""
+    for fault in world.told.fault:
+        yield partial(world.loop.at, CALM + int(fault.at), partial(_begins, world, fault))
+
+
+def _begins(world: World, fault: Fault) -> None:
+    if fault.every and world.loop.now + int(fault.every) < CALM + int(world.told.length):
+        world.loop.after(int(fault.every), partial(_begins, world, fault))
+    if fault.kind == "close":
+        _close(world, fault)
+    elif fault.after == "ack":
+        world.operators.acknowledged.append(partial(_strike, world, fault))
+        world.operators.change()
+    elif fault.after == "sync":
+        for machine in _named(world, fault.on):
+            machine.disk.synced = partial(_synced, world, fault, machine)
+    else:
+        _strike(world, fault)
+
+
+def _named(world: World, names: Iterable[str]) -> list[Machine]:
+    found: dict[Machine, None] = {}
+    for name in names:
+        if name in ("core", "pilots"):
+            found |= dict.fromkeys(world.listed() if name == "core" else world.pilots)
+        elif name in ("head", "middle", "tail"):
+            seats = world.seats()
+            if seats:
+                at = {"head": 0, "middle": len(seats) // 2, "tail": -1}[name]
+                found[world.machine(seats[at])] = None
+        else:
+            found[world.machine(name)] = None
+    return list(found)
+
+
+def _synced(world: World, fault: Fault, machine: Machine, stores: list[Store]) -> None:
+    """A commit with a claim is on the disk, and its process has not heard of it yet."""
+    if any(row[0] == "key" for store in stores for _, row in store.rows):
+        machine.disk.synced = lambda stores: None
+        _strike(world, fault, [machine])
+
+
+def _strike(world: World, fault: Fault, machines: list[Machine] | None = None) -> None:
+    machines = _named(world, fault.on) if machines is None else machines
+    machines = [machine for machine in machines if machine.used and not machine.gone]
+    world.trace("fault", fault.kind, tuple(machine.name for machine in machines))
+    if fault.kind == "cut":
+        _cut(world, fault, machines)
+        return
+    for machine in machines:
+        _one(world, fault, machine)
+
+
+def _one(world: World, fault: Fault, machine: Machine) -> None:
+    loop, lasts = world.loop, int(fault.lasts)
+    match fault.kind:
+        case "kill":
+            machine.kill()
+            loop.after(max(BACK, lasts), machine.begin)
+        case "term":
+            machine.term()
+        case "power" | "wipe":
+            machine.lose_power(wipe=fault.kind == "wipe")
+            loop.after(lasts, machine.get_power)
+        case "freeze":
+            process = machine.process
+            if process.alive:
+                world.trace("frozen", machine.name)
+                process.freeze()
+
+                def wakes() -> None:
+                    if process.alive:
+                        world.trace("thawed", machine.name)
+                        process.thaw()
+
+                loop.after(lasts, wakes)
+        case "stall" | "full":
+            until = loop.now + lasts
+            if fault.kind == "stall":
+                machine.disk.stalled = max(machine.disk.stalled, until)
+            else:
+                machine.disk.full = max(machine.disk.full, until)
+            world.trace("sick", machine.name)
+            loop.after(lasts, partial(world.trace, "well", machine.name))
+        case "clock":
+            machine.off += -int(fault.by) if fault.back else int(fault.by)
+            world.trace("clock", machine.name)
+        case "seeds":
+            _exchange(world, machine)
+        case "crash":
+            if machine.upstream is not None:
+                machine.upstream.die()
+                loop.after(max(CRASHED, lasts), machine.new_upstream)
+        case "replace" | "reuse":
+            _leaves(world, machine, fault.kind == "reuse")
+
+
+def _cut(world: World, fault: Fault, machines: list[Machine]) -> None:
+    others = _named(world, fault.to) or [*world.listed(), *world.pilots]
+    pairs = [(one, other) for one in machines for other in others if other not in machines]
+    ways = [(one, other) for one, other in pairs] + (
+        [] if fault.one_way else [(other, one) for one, other in pairs]
+    )
+    for on in (True, False):
+
+        def turn(on: bool = on) -> None:
+            for one, other in ways:
+                world.trace("cut" if on else "joined", one.name, other.name)
+                world.net.set_cut(one.ip, other.ip, on)
+
+        world.loop.after(0 if on else int(fault.lasts), turn)
+
+
+def _exchange(world: World, old: Machine) -> None:
+    """Another machine, with an empty disk, takes its place; it goes for good, or until it is a spare."""
+    spare = next((one for one in world.core if one not in world.listed() and not one.process.alive), None)
+    if spare is None or old not in world.listed():
+        return
+    spare.gone = False
+    if not spare.powered:
+        spare.get_power()
+    spare.begin()
+
+    def goes() -> None:
+        world.replace(old, spare)
+        old.lose_power(wipe=True)
+        world.trace("removed", old.name)
+        old.gone = True
+
+    world.loop.after(OVERLAP, goes)
+
+
+def _leaves(world: World, machine: Machine, reuse: bool) -> None:
+    """Its upstream drains and ends, then its pilot gets SIGTERM; new ones come to the same address."""
+    upstream = machine.upstream
+    if upstream is None or not upstream.process.alive:
+        return
+
+    def ended() -> None:
+        if reuse:
+            at = world.services.index(machine.plant)
+            machine.next_plant = world.services[(at + 1) % len(world.services)]
+        machine.term()
+        delay = int(world.told.limits.reuse_delay)
+        world.loop.after(delay + 2 * BACK, partial(_comes, world, machine))
+
+    upstream.leave(ended)
+
+
+def _comes(world: World, machine: Machine) -> None:
+    """Once the pilot that is to be beside it is the new one."""
+    if machine.next_plant != machine.plant and not machine.gone:
+        world.loop.after(200 * MS, partial(_comes, world, machine))
+    elif machine.upstream is None or not machine.upstream.process.alive:
+        machine.new_upstream()
+
+
+def _close(world: World, fault: Fault) -> None:
+    """The closing fault, right after a configuration was acknowledged."""
+
+    def strikes() -> None:
+        world.trace("closing", fault.how)
+        core = world.listed()
+        lasts = int(fault.lasts) or 500 * MS
+        if fault.how == "kill":
+            for machine in (*core, *world.pilots):
+                machine.kill()
+                world.loop.after(lasts, machine.begin)
+            return
+        wiped = core[: world.told.core.tolerance] if fault.how == "wipe" else []
+        for machine in (*core, *world.pilots):
+            if fault.how == "power" or machine.core:
+                machine.lose_power(wipe=machine in wiped)
+                world.loop.after(lasts, machine.get_power)
+
+    def back() -> None:
+        world.trace("back")
+
+    def then() -> None:
+        strikes()
+        world.loop.after(int(fault.lasts) or 500 * MS, back)
+
+    world.operators.acknowledged.append(then)
+    world.operators.change()
--- /dev/null
+++ b/brackengate/emulator/mesh/hunt.py
@@ -0,0 +1,112 @@
+"""Schedules of faults for a mesh: drawn, changed and made smaller."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+from brackengate.emulator import report
+from brackengate.emulator.loop import MS, S
+from brackengate.emulator.mesh.play import Played
+from brackengate.emulator.mesh.scenario import LASTING, STRIKES, Fault, MeshScenario, pilots
+from brackengate.installation.units import Duration
+
+MOST_FAULTS = 6
+KINDS = tuple(kind for kind in STRIKES if kind != "close")
+LONGEST = 8 * S
+TAIL = 5 * S  # of a scenario, behind its last fault
+
+
+def features(told: MeshScenario, played: Played) -> frozenset[str]:
+    """What a run did, coarsely: ends by route in powers of two, rules, and which faults came together."""
+    seen = {f"broken {rule}" for rule in played.rules}
+    for name, one in played.summary.classes.items():
+        seen |= {f"{name} {end} {one.ends[end].bit_length()}" for end in report.ENDS[1:] if one.ends[end]}
+    kinds = sorted({f"{one.kind}{one.after}" for one in told.fault})
+    seen |= {f"{one}+{other}" for place, one in enumerate(kinds) for other in kinds[place + 1 :]}
+    return frozenset(seen)
+
+
+def drawn(told: MeshScenario, rng: random.Random) -> Fault:
+    """A fault that the scenario allows, never on more of the core's disks than may be lost."""
+    replace, kind = msgspec.structs.replace, rng.choice(KINDS)
+    core = [f"l{n}" for n in range(told.core.count)] + ["head", "middle", "tail"]
+    sides = [f"p{n}" for n in range(pilots(told))]
+    places = (core if "l" in STRIKES[kind] else []) + (sides if "p" in STRIKES[kind] else [])
+    on = (rng.choice(places),)
+    if kind in ("kill", "freeze", "power") and rng.random() < 0.2:
+        on = (rng.choice(("core", "pilots")),)
+    length = max(1, int(told.length) - 2 * S)
+    made = Fault(
+        at=Duration(rng.randrange(0, length, 10 * MS)),
+        kind=kind,  # type: ignore[arg-type]
+        on=on,
+        lasts=Duration(rng.choice((300 * MS, rng.randrange(100 * MS, LONGEST, 10 * MS)))),
+        by=Duration(rng.randrange(S, 60 * S, 100 * MS)),
+        back=rng.random() < 0.5,
+    )
+    if kind == "cut":
+        to = rng.choice([(), ("core",), ("pilots",), (rng.choice([one for one in core + sides]),)])
+        made = replace(made, to=to, one_way=rng.random() < 0.4)
+    elif kind in ("kill", "power", "wipe") and on[0] in core and rng.random() < 0.4:
+        made = replace(made, after=rng.choice(("sync", "ack")))
+    return made
+
+
+def mutated(told: MeshScenario, rng: random.Random) -> MeshScenario:
+    """One fault more, one less, or one changed."""
+    found = list(told.fault)
+    what = rng.choice(("add", "add", "drop", "change")) if found else "add"
+    if what == "add" and len(found) < MOST_FAULTS:
+        near = drawn(told, rng)
+        if found and rng.random() < 0.5:  # close behind another one: what comes together hurts most
+            at = int(rng.choice(found).at) + rng.randrange(0, 2 * S, 10 * MS)
+            near = msgspec.structs.replace(near, at=Duration(min(at, int(told.length) - S)))
+        found.append(near)
+    elif what == "drop":
+        found.pop(rng.randrange(len(found)))
+    else:
+        place = rng.randrange(len(found))
+        new = drawn(told, rng)
+        if rng.random() < 0.5:  # the same at another time
+            new = msgspec.structs.replace(found[place], at=new.at)
+        found[place] = new
+    return msgspec.structs.replace(told, fault=tuple(sorted(found, key=lambda one: int(one.at))))
+
+
+def smaller(told: MeshScenario) -> Iterable[MeshScenario]:
+    """What is a little less of the same, the greatest steps first."""
+    replace, found = msgspec.structs.replace, told.fault
+    for place in range(len(found)):
+        yield replace(told, fault=found[:place] + found[place + 1 :])
+    last = max((int(one.at) + int(one.lasts) for one in found), default=0)
+    for length in (last + TAIL, int(told.length) * 3 // 4):
+        if S <= length < told.length:
+            yield replace(told, length=Duration(length))
+    used = {route.service for route in told.route.values()}
+    for name in told.route:
+        if len(told.route) > 1:
+            yield replace(told, route=_without(told.route, name))
+    for name in told.service:
+        if name not in used and len(told.service) > 1:
+            yield replace(told, service=_without(told.service, name))
+    for name, service in told.service.items():
+        if service.pilots > 1:
+            less = replace(service, pilots=service.pilots - 1)
+            yield replace(told, service={**told.service, name: less})
+    for name, route in told.route.items():
+        if route.rate > 1:
+            yield replace(told, route={**told.route, name: replace(route, rate=round(route.rate / 2, 3))})
+    if told.operators.every:
+        yield replace(told, operators=replace(told.operators, every=Duration(0)))
+    for place, one in enumerate(found):
+        if one.kind in LASTING and one.lasts > 200 * MS:
+            shorter = replace(one, lasts=Duration(int(one.lasts) // 2 // MS * MS))
+            yield replace(told, fault=(*found[:place], shorter, *found[place + 1 :]))
+
+
+def _without(table: dict[str, Any], name: str) -> dict[str, Any]:
+    return {one: held for one, held in table.items() if one != name}
--- /dev/null
+++ b/brackengate/emulator/mesh/people.py
@@ -0,0 +1,391 @@
+"""Who asks: callers at the pilots, and two operators at the lighthouses."""
+
+from __future__ import annotations
+
+import json
+import random
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Protocol
+
+from brackengate.emulator.loop import MS, Loop, S
+from brackengate.emulator.mesh.ground import Ways
+from brackengate.emulator.mesh.scenario import MeshScenario, Route
+from brackengate.emulator.mesh.talk import Call, Heard, message
+from brackengate.emulator.process import Process
+from brackengate.net.sockets import Address
+
+HOST = "h.example"
+MOST_TRIES = 4
+PAUSE = 30 * MS  # before a try that nobody said when to make, doubled
+PROBES = 1.0  # a second, straight to random pilots, on routes that come and go
+LOOK = S  # the platform asks a pilot whether it is ready
+PROMISES = (408, 421, 429, 503)
+
+
+class Around(Protocol):
+    loop: Loop
+    net: Ways
+    told: MeshScenario
+    services: list[str]
+
+    def trace(self, what: str, *of: object) -> None: ...
+
+    def sides(self) -> Sequence[Side]:
+        """The machines with pilots that there are."""
+
+    def controls(self, late: int) -> list[Address]:
+        """The lighthouses, as the operators' list has them, which is so late."""
+
+
+class Side(Protocol):
+    """A machine with a pilot, as callers know it."""
+
+    ip: str
+    zone: str
+    plant: str
+    offered: bool
+
+    @property
+    def outbound(self) -> Address: ...
+
+    @property
+    def readiness(self) -> Address: ...
+
+
+@dataclass(eq=False, slots=True)
+class Asked:
+    """What a client wants, through all its tries."""
+
+    number: int
+    route: str
+    kind: str
+    work: int
+    aim: int
+    side: Side
+    since: int
+    latest: int
+    key: str = ""
+    again: float = 0.0  # chance that it is sent once more when it was served
+    tries: int = 0
+
+
+class Callers:
+    def __init__(self, around: Around, seed: int) -> None:
+        self._around, self._loop = around, around.loop
+        self._rng = random.Random(f"{seed}/callers")
+        self._numbers = self._attempts = 0
+        self._at: dict[str, Process] = {}  # clients, by machine
+        self._looks: dict[str, int] = {}  # failures in a row, by machine
+        self.until = 0
+
+    def begin(self, until: int) -> None:
+        self.until = until
+        for name, route in self._around.told.route.items():
+            if route.rate > 0:
+                self._next(name, route)
+        self._probe()
+        self._look()
+
+    def _here(self, side: Side) -> Process:
+        found = self._at.get(side.ip)
+        if found is None:
+            found = self._at[side.ip] = Process(self._loop, self._around.net, side.ip, "clients")
+        return found
+
+    def _look(self) -> None:
+        for side in self._around.sides():
+            data = message("GET /v1/readiness HTTP/1.1", {"Host": "pilot"})
+            Call(self._here(side), side.readiness, data, partial(self._looked, side), S - MS)
+        if self._loop.now < self.until:
+            self._loop.after(LOOK, self._look)
+
+    def _looked(self, side: Side, heard: Heard | None, why: str) -> None:
+        if heard is not None and heard.status == 200:
+            side.offered, self._looks[side.ip] = True, 0
+            return
+        self._looks[side.ip] = self._looks.get(side.ip, 0) + 1
+        if self._looks[side.ip] >= 2:
+            side.offered = False
+
+    def _next(self, name: str, route: Route) -> None:
+        def comes() -> None:
+            if self._loop.now < self.until:
+                self._next(name, route)
+                self._new(name, route)
+
+        self._loop.after(int(self._rng.expovariate(route.rate) * 1e6), comes)
+
+    def _new(self, name: str, route: Route) -> None:
+        sides = [side for side in self._around.sides() if side.offered]
+        if not sides:
+            return
+        self._numbers += 1
+        now, number = self._loop.now, self._numbers
+        key = f"k{number}" if route.kind == "keyed" else ""
+        asked = Asked(
+            number, name, route.kind, int(route.work), int(route.aim), self._rng.choice(sides),
+            now, now + int(route.deadline), key, float(route.again),
+        )  # fmt: skip
+        self._try(asked)
+
+    def _probe(self) -> None:
+        """On routes that the operators add and drop, and on one that never was."""
+
+        def comes() -> None:
+            if self._loop.now < self.until:
+                self._probe()
+                sides = [side for side in self._around.sides() if side.offered]
+                if sides:
+                    self._numbers += 1
+                    name, now = f"x{self._rng.randrange(4)}", self._loop.now
+                    side = self._rng.choice(sides)
+                    self._try(
+                        Asked(self._numbers, name, "probe", 10 * MS, 300 * MS, side, now, now + 500 * MS)
+                    )
+
+        self._loop.after(int(self._rng.expovariate(PROBES) * 1e6), comes)
+
+    def _try(self, asked: Asked) -> None:
+        asked.tries += 1
+        self._attempts += 1
+        attempt, side = f"a{self._attempts}", asked.side
+        method = "GET" if asked.kind in ("idempotent", "probe") else "POST"
+        target = f"/{asked.route}/{asked.work}/{asked.number}"
+        body = b"" if method == "GET" else f"wants {asked.number}".encode()
+        left = max(MS, asked.latest - self._loop.now)
+        fields = {
+            "Host": HOST,
+            "X-Brackengate-Attempt-Id": attempt,
+            "X-Brackengate-Deadline-Ms": str(left // MS),
+        }
+        if asked.key:
+            fields["X-Brackengate-Operation-Key"] = asked.key
+        sent = f"{method} {target} {body.decode()}"
+        self._around.trace(
+            "asked", attempt, asked.number, asked.route, asked.kind, asked.key, side.ip, side.plant, sent
+        )
+        data = message(f"{method} {target} HTTP/1.1", fields, body)
+        Call(self._here(side), side.outbound, data, partial(self._ended, asked, attempt), left)
+
+    def _ended(self, asked: Asked, attempt: str, heard: Heard | None, why: str) -> None:
+        trace, now = self._around.trace, self._loop.now
+        if heard is None:
+            trace("ended", attempt, why, "", "", False)
+            status, after = 0, 0
+        else:
+            status, fields = heard.status, heard.fields
+            seal, body = fields.get("x-brackengate-server-seal", ""), heard.body.decode("latin-1")
+            trace("ended", attempt, status, seal, body, heard.more)
+            after = int(float(fields.get("retry-after", "0")) * 1e6)
+        if 200 <= status < 300:
+            trace("served", asked.number, asked.route, now - asked.since, asked.aim)
+            self._once_more(asked)
+            return
+        again = asked.kind in ("idempotent", "keyed") or status in PROMISES
+        if status in (400, 401, 404, 413, 431) or asked.kind == "probe":
+            again = False
+        pause = max(min(after, (asked.latest - now) // 3), PAUSE << (asked.tries - 1))
+        if again and asked.tries < MOST_TRIES and now + pause + MS < asked.latest:
+            self._loop.after(pause, partial(self._try, asked))
+        else:
+            trace("failed", asked.number, asked.route, status or why)
+            self._once_more(asked)
+
+    def _once_more(self, asked: Asked) -> None:
+        """The same operation again, from another zone: after a good answer, or after all tries."""
+        if not asked.key or self._rng.random() >= asked.again:
+            return
+        others = [one for one in self._around.sides() if one.offered and one.zone != asked.side.zone]
+        others = others or [one for one in self._around.sides() if one.offered]
+        wait = int(self._rng.uniform(0.05, 12.0) * 1e6)
+        if not others or self._loop.now + wait >= self.until:
+            return
+        side, lasts = self._rng.choice(others), asked.latest - asked.since
+
+        def comes() -> None:
+            self._numbers += 1
+            now = self._loop.now
+            repeat = Asked(
+                asked.number, asked.route, asked.kind, asked.work, asked.aim, side, now, now + lasts,
+                asked.key, asked.again / 2,
+            )  # fmt: skip
+            self._around.trace("repeats", asked.number)
+            self._try(repeat)
+
+        self._loop.after(wait, comes)
+
+
+# --- the operators
+
+
+@dataclass(eq=False, slots=True)
+class Change:
+    number: int
+    body: bytes
+    items: list[tuple[str, int, tuple[str, ...]]]  # route, version, services; none: dropped
+    sound: bool = True
+    done: Callable[[int], None] = lambda status: None
+    tries: int = 0
+    odd: int = 0  # other 4xx
+
+
+@dataclass(slots=True)
+class Version:
+    number: int = 0
+    services: tuple[str, ...] = ()
+    kept: dict[str, object] = field(default_factory=dict)
+
+
+class Operators:
+    """Two who change the configuration; one reads it back at the end."""
+
+    def __init__(self, around: Around, seed: int) -> None:
+        self._around, self._loop = around, around.loop
+        self._rng = random.Random(f"{seed}/operators")
+        around.net.zones["operators"] = around.told.zones[0]
+        self._process = Process(around.loop, around.net, "operators", "operators")
+        self._changes = 0
+        self._versions: dict[str, int] = {}
+        self.acknowledged: list[Callable[[], None]] = []  # called once, at the next acknowledgement
+        self.until = 0
+
+    def begin(self, until: int) -> None:
+        """The first configuration, and then what the scenario says."""
+        self.until = until
+        told = self._around.told
+        plants = [
+            {"Name": name, "HealthPath": "/health", "ConnLimit": 110, "Revision": "r1"}
+            for name in self._around.services
+        ]
+        limits = {"HeaderMaxBytes": 16384, "BodyMaxBytes": 67108864, "Revision": "r1"}
+        routes = [(name, (route.service,)) for name, route in told.route.items()]
+        self._send(routes, plants=plants, limits=limits)
+        if told.operators.every:
+            self._loop.after(5 * S, self._next)
+
+    def _next(self) -> None:
+        told = self._around.told.operators
+        if self._loop.now >= self.until:
+            return
+        self._loop.after(int(self._rng.uniform(0.5, 1.5) * int(told.every)), self._next)
+        self._change()
+        if self._rng.random() < told.race:
+            self._change()
+
+    def change(self) -> None:
+        """One that is sound."""
+        name = self._rng.choice(list(self._around.told.route))
+        self._send([(name, (self._rng.choice(self._around.services),))])
+
+    def _change(self) -> None:
+        rng, told = self._rng, self._around.told
+        if rng.random() < float(told.operators.invalid):
+            self._send([(rng.choice(list(told.route)), ("nobody",))], sound=False)
+            return
+        what = rng.random()
+        if what < 0.5:
+            name = f"x{rng.randrange(3)}"
+            self._send([(name, (rng.choice(self._around.services),) if rng.random() < 0.6 else ())])
+        else:
+            name = rng.choice(list(told.route))
+            count = min(len(self._around.services), rng.choice((1, 1, 2)))
+            self._send([(name, tuple(rng.sample(self._around.services, count)))])
+
+    def _send(
+        self,
+        routes: Iterable[tuple[str, tuple[str, ...]]],
+        plants: list[dict[str, object]] | None = None,
+        limits: dict[str, object] | None = None,
+        sound: bool = True,
+    ) -> None:
+        paths: list[dict[str, object]] = []
+        removed: list[dict[str, object]] = []
+        items: list[tuple[str, int, tuple[str, ...]]] = []
+        for name, services in routes:
+            version = self._versions.get(name, 0) + self._rng.randint(1, 3)
+            if sound:
+                self._versions[name] = version
+            items.append((name, version, services))
+            if not services:
+                removed.append({"Name": name, "Revision": f"r{version}"})
+                continue
+            told = self._around.told.route.get(name)
+            path: dict[str, object] = {
+                "Name": name,
+                "PathPrefix": f"/{name}/",
+                "SignalKind": told.kind if told else "idempotent",
+                "Cutoff": f"{(int(told.deadline) if told else 500 * MS) // MS}ms",
+                "Setpoint": f"{(int(told.aim) if told else 300 * MS) // MS}ms",
+                "Priority": 1,
+                "MaxAttempts": told.attempts if told else 2,
+                "Revision": f"r{version}",
+            }
+            if len(services) == 1:
+                path["Plant"] = services[0]
+            else:
+                path["Split"] = [{"Plant": one, "Gain": 1} for one in services]
+            paths.append(path)
+        call: dict[str, object] = {"Hosts": [{"Host": HOST, "Paths": paths}]} if paths else {}
+        if plants is not None:
+            call["Plants"] = plants
+        if limits is not None:
+            call["Limits"] = limits
+        body = json.dumps({"Apply": call, "Remove": {"Routes": removed}}).encode()
+        self._changes += 1
+        change = Change(self._changes, body, items, sound)
+        for name, version, services in items:
+            self._around.trace("offers", change.number, name, version, services, sound)
+        self._try(change)
+
+    def _try(self, change: Change) -> None:
+        change.tries += 1
+        addresses = self._around.controls(int(self._around.told.operators.late))
+        data = message(
+            "POST /v1/rpc?call=config.amend HTTP/1.1",
+            {"Host": "core", "Content-Type": "application/json"},
+            change.body,
+        )
+        Call(self._process, self._rng.choice(addresses), data, partial(self._ended, change), S)
+
+    def _ended(self, change: Change, heard: Heard | None, why: str) -> None:
+        status = heard.status if heard is not None else 0
+        self._around.trace("said", change.number, status)
+        if status == 200:
+            self._around.trace("acked", change.number)
+            waiting, self.acknowledged = self.acknowledged, []
+            for do in waiting:
+                do()
+            return
+        if 400 <= status < 500 and status not in (408, 429):
+            change.odd += 1
+            if status in (400, 409, 412, 413, 422) or change.odd >= 3:
+                return
+        pause = min(S, 50 * MS << min(change.tries, 5))
+        self._loop.after(pause, partial(self._try, change))
+
+    def read(self, again: int) -> None:
+        """Read back, for so long again and again."""
+        first = self._loop.now
+
+        def ask() -> None:
+            data = message("POST /v1/rpc?call=config.read HTTP/1.1", {"Host": "core"})
+            Call(self._process, self._rng.choice(self._around.controls(0)), data, done, S)
+
+        def done(heard: Heard | None, why: str) -> None:
+            if heard is not None and heard.status == 200:
+                held: list[tuple[str, int, tuple[str, ...]]] = []
+                for host in json.loads(heard.body).get("Hosts", []):
+                    for path in host["Paths"]:
+                        split = [one["Plant"] for one in path.get("Split") or []]
+                        held.append(
+                            (path["Name"], int(path["Revision"][1:]), tuple(split or [path["Plant"]]))
+                        )
+                self._around.trace("read", tuple(held))
+            else:
+                self._around.trace("unread", heard.status if heard is not None else why)
+            if self._loop.now - first < again:
+                self._loop.after(300 * MS, ask)
+
+        ask()
--- a/brackengate/emulator/network.py
+++ b/brackengate/emulator/network.py
@@ -8,6 +8,7 @@
 
 import errno
 import random
+import socket
 from collections import deque
 from collections.abc import Callable
 from functools import partial
@@ -76,10 +77,14 @@
         end.due = max(end.due, self.loop.now + self.way(*pair) + more)
         self.loop.at(end.due, partial(end.other.arrives, kind, data))
 
+    def place(self, address: Address, zone: str) -> str:
+        """Where an address is, for one who asks from `zone`."""
+        listener = self.listeners.get(address)
+        return listener.zone if listener is not None else zone
+
     def connect(self, owner: Owner, zone: str, address: Address, told: Callable[[End | None], None]) -> None:
         """`told`: the near end, or None where it was refused.  Into a cut it hears nothing."""
-        listener = self.listeners.get(address)
-        there = listener.zone if listener is not None else zone
+        there = self.place(address, zone)
         if self.cut(zone, there) or self.cut(there, zone):
             return
         more = (
@@ -112,6 +117,7 @@
         self.closed = False  # on this side
         self.over = False  # nothing more comes from the other one
         self.name = self.peer = ""
+        self.patience = 0  # for which bytes may be unacknowledged; 0: for ever
         self.hears: Callable[[bytes], None] | None = None
         self.ends: Callable[[bool], None] | None = None  # with whether it broke
         self.wrote: Callable[[End, bytes], None] | None = None  # who looks on
@@ -239,8 +245,14 @@
             self._net.loop.after(0, self._catch_up)
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
+        if name == "socket":
+            return self
         return (self.peer or self.zone, 0) if name == "peername" else default
 
+    def setsockopt(self, level: int, option: int, value: int) -> None:
+        if option == socket.TCP_USER_TIMEOUT:
+            self.patience = value * MS
+
 
 class Listener:
     """Where connections come in.  A model takes each at once; a process accepts them as a server does."""
--- a/brackengate/emulator/process.py
+++ b/brackengate/emulator/process.py
@@ -143,7 +143,10 @@
         if self.connected is not None:
             self.connected(sock.end, address)
 
-    async def create_connection(self, factory: Callable[[], Any], sock: Socket) -> tuple[End, Any]:
+    async def create_connection(
+        self, factory: Callable[[], Any], host: Any = None, port: int = 0, *, sock: Socket | None = None
+    ) -> tuple[End, Any]:
+        assert sock is not None  # one that stands
         return self._adopt(factory, sock)
 
     async def connect_accepted_socket(self, factory: Callable[[], Any], sock: Socket) -> tuple[End, Any]:
--- /dev/null
+++ b/tests/emulator/test_mesh_lab.py
@@ -0,0 +1,149 @@
+"""The mesh in simulated time: the roles as they are, one run a seed, and each checker sees its fault."""
+
+from __future__ import annotations
+
+import hashlib
+import subprocess
+import sys
+from collections.abc import Iterable
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from brackengate.cli import main
+from brackengate.emulator.mesh import checks
+from brackengate.emulator.mesh.play import Played, play
+from brackengate.emulator.mesh.scenario import Limits, changed
+from brackengate.installation.reading import BadFile
+
+ROOT = Path(__file__).parent.parent.parent
+MESH = ROOT / "examples" / "lab" / "mesh"
+
+
+def played(name: str, *sets: str, seed: int = 1) -> Played:
+    path = MESH / name
+    return play(changed(path.read_text(), str(path), sets), seed)
+
+
+def kept(made: Played) -> None:
+    assert [f"{one.rule}: {word}" for one in made.found for word in one.words] == []
+
+
+def test_a_calm_day_is_served_and_keeps_every_rule() -> None:
+    made = played("calm.toml", "length=8s")
+    kept(made)
+    assert made.worth > 0.99 and made.summary.items > 200
+    assert {"TWICE", "REFUSED", "MIXED", "ROUTE", "DRAIN", "CONFIG"} <= {one.rule for one in made.found}
+
+
+def test_a_seed_plays_again_under_any_hash_seed() -> None:
+    code = (
+        "import sys; sys.path.insert(0, 'tests/emulator'); import test_mesh_lab as t;"
+        "print(t.digest(t.played('two-services.toml', 'length=4s', 'operators.every=1s')))"
+    )
+    here = digest(played("two-services.toml", "length=4s", "operators.every=1s"))
+    there = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, env={"PYTHONHASHSEED": "7", "PYTHONPATH": str(ROOT)},
+        capture_output=True, text=True, check=True,
+    )  # fmt: skip
+    assert there.stdout.strip() == here
+
+
+def digest(made: Played) -> str:
+    return hashlib.sha256(repr(made.world.records).encode()).hexdigest()
+
+
+def test_the_roles_do_not_import_the_emulator() -> None:
+    code = "import brackengate.pilot.role, brackengate.lighthouse.role, sys; print(*sys.modules)"
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert "brackengate.emulator" not in done.stdout
+
+
+def test_a_scenario_that_cannot_be_played_is_told_by_key() -> None:
+    text = (MESH / "calm.toml").read_text() + '\n[[fault]]\nat = "1s"\nkind = "wipe"\non = ["p9"]\n'
+    with pytest.raises(BadFile) as told:
+        changed(text, "s.toml", ())
+    assert "wipe does not strike p9" not in str(told.value)  # there is none: that is told first
+    assert "there is no p9" in str(told.value) and "lasts" in str(told.value)
+
+
+def test_the_command_plays_the_mesh() -> None:
+    done = CliRunner().invoke(main, ["lab", "run", str(MESH / "calm.toml"), "--set", "length=3s"])
+    assert done.exit_code == 0 and "kept    TWICE" in done.output
+
+
+# --- the checkers, each on a history that breaks its rule
+
+S = 1_000_000
+NAMES = {"10.1.1.1": "p0", "10.1.0.1": "l0"}
+UP = [(0, "up", (name,)) for name in ("l0", "p0")]
+
+
+def asked(at: int, attempt: str, kind: str = "effectful", key: str = "", route: str = "r") -> checks.Record:
+    return at, "asked", (attempt, 1, route, kind, key, "10.1.1.1", "s", f"POST /{route}/1/1 x")
+
+
+def ran(at: int, attempt: str, plant: str = "s", upstream: str = "i1", key: str = "", caller: str = "s",
+        route: str = "r") -> checks.Record:  # fmt: skip
+    return at, "ran", (upstream, plant, attempt, key, caller, f"POST /{route}/1/1 x")
+
+
+def ended(at: int, attempt: str, how: object, seal: str = "", body: str = "") -> checks.Record:
+    return at, "ended", (attempt, how, seal, body, False)
+
+
+def offers(at: int, call: int, version: int, *services: str, sound: bool = True) -> checks.Record:
+    return at, "offers", (call, "r", version, services, sound)
+
+
+FIRST = [offers(1, 1, 1, "s"), (2, "acked", (1,)), (0, "read", ((("r", 1, ("s",)),),))]
+MOVED = [*FIRST, offers(S, 2, 2, "t"), (2 * S, "acked", (2,))]
+HISTORIES = {
+    "MIXED": (ran(9 * S, "a"), (9 * S, "done", ("i1", "b", "q", "xx")), ended(9 * S, "a", 200, "q", "xx")),
+    "UNASKED": (ran(9 * S, "a", caller="other"),),
+    "TWICE": (ran(9 * S, "a"), ran(9 * S, "a", upstream="i2")),
+    "REFUSED": (ended(9 * S, "a", 503), ran(9 * S + 1, "a")),
+    "ROUTE": (ran(9 * S, "a", plant="u"),),
+    "DRAIN": ((5 * S, "drains", ("i1", "10.1.1.1")), (9 * S, "arrived", ("i1", "s", "a"))),
+    "BUDGET": tuple((9 * S, "arrived", ("i1", "s", "a")) for _ in range(40)),
+    "LOST": (
+        (8 * S, "term", ("p0",)),
+        (9 * S, "arrived", ("i1", "s", "a")),
+        ended(9 * S, "a", "closed"),
+    ),
+}  # fmt: skip
+
+
+def broken(*records: checks.Record, first: Iterable[checks.Record] = FIRST) -> set[str]:
+    seen = checks.Seen(sorted([*UP, *first, *records], key=lambda one: one[0]), Limits(), NAMES, 30 * S)
+    return {one.rule for one in checks.verdict(seen) if one.count}
+
+
+@pytest.mark.parametrize("rule", HISTORIES)
+def test_each_rule_is_seen_broken_where_it_is(rule: str) -> None:
+    assert rule in broken(asked(9 * S, "a"), *HISTORIES[rule])
+    assert broken(asked(9 * S, "a"), ran(9 * S, "a")) == set()
+
+
+def test_a_key_runs_once_in_its_window_and_may_run_again_behind_it() -> None:
+    both = asked(6 * S, "a", "keyed", "k"), ran(6 * S, "a", key="k"), asked(9 * S, "b", "keyed", "k")
+    assert broken(*both, ran(9 * S, "b", key="k")) == {"TWICE"}
+    assert broken(*both, ran(70 * S, "b", key="k")) == set()
+
+
+def test_a_stale_configuration_counts_on_machines_in_touch_alone() -> None:
+    read = (20 * S, "read", ((("r", 2, ("t",)),),))
+    stale = asked(9 * S, "a"), ran(9 * S, "a", plant="s"), read
+    assert broken(*stale, first=MOVED) == {"CONFIG"}
+    assert broken(asked(3 * S, "a"), ran(3 * S, "a", plant="s"), read, first=MOVED) == set()  # in its time
+    assert broken((7 * S, "clock", ("p0",)), *stale, first=MOVED) == set()
+    assert broken((7 * S, "down", ("l0",)), *stale, first=MOVED) == set()
+    back = asked(3 * S, "a"), ran(3 * S, "a", plant="t"), asked(3 * S + 300_000, "b"), read
+    assert broken(*back, ran(3 * S + 300_000, "b"), first=MOVED) == {"CONFIG"}
+
+
+def test_what_is_missing_when_read_back_is_config_or_lost() -> None:
+    gone = (20 * S, "read", ((("r", 1, ("s",)),),))
+    assert broken(gone, first=MOVED) == {"CONFIG"}
+    assert broken((10 * S, "closing", ("power",)), gone, first=MOVED) == {"LOST"}
