--- a/brackengate/cli_lab.py
+++ b/brackengate/cli_lab.py
@@ -28,6 +28,7 @@
     log.setLevel(level)
     if level > logging.DEBUG:  # what the balancers say that are played
         logging.getLogger("brackengate").setLevel(logging.ERROR)
+        logging.getLogger("brackengate.lighthouse").setLevel(logging.CRITICAL)  # disks that were made full
 
 
 @lab.command("run")
--- a/brackengate/emulator/mesh/disk.py
+++ b/brackengate/emulator/mesh/disk.py
@@ -63,13 +63,13 @@
         self.loop.after(TOLD, partial(done, None))
         self.synced(stores)
 
-    def ends(self, power: bool) -> None:
+    def ends(self, power: bool, all_gone: bool = False) -> None:
         """The process dies, or the machine loses power: what is under way is there whole, or torn or lost.
 
-        Without power it is lost in half of the cases; otherwise the kernel still has what was written.
+        Without power it is lost in half of the cases, or in all; else the kernel still has what was written.
         """
         stores, self._under_way, self._life = self._under_way, None, object()
-        if stores is not None and self._rng.random() < (0.5 if power else 0.8):
+        if stores is not None and not all_gone and self._rng.random() < (0.5 if power else 0.8):
             self._apply(stores)
 
     def _apply(self, stores: list[Store]) -> None:
--- a/brackengate/emulator/mesh/faults.py
+++ b/brackengate/emulator/mesh/faults.py
@@ -54,7 +54,7 @@
     """A commit with a claim is on the disk, and its process has not heard of it yet."""
     if any(row[0] == "key" for store in stores for _, row in store.rows):
         machine.disk.synced = lambda stores: None
-        _strike(world, fault, [machine])
+        _strike(world, fault, _named(world, fault.to) or [machine])
 
 
 def _strike(world: World, fault: Fault, machines: list[Machine] | None = None) -> None:
@@ -64,11 +64,12 @@
     if fault.kind == "cut":
         _cut(world, fault, machines)
         return
+    all_gone = world.rng.random() < 0.5
     for machine in machines:
-        _one(world, fault, machine)
+        _one(world, fault, machine, all_gone)
 
 
-def _one(world: World, fault: Fault, machine: Machine) -> None:
+def _one(world: World, fault: Fault, machine: Machine, all_gone: bool) -> None:
     loop, lasts = world.loop, int(fault.lasts)
     match fault.kind:
         case "kill":
@@ -77,7 +78,7 @@
         case "term":
             machine.term()
         case "power" | "wipe":
-            machine.lose_power(wipe=fault.kind == "wipe")
+            machine.lose_power(wipe=fault.kind == "wipe", all_gone=all_gone)
             loop.after(lasts, machine.get_power)
         case "freeze":
             process = machine.process
@@ -184,10 +185,11 @@
                 machine.kill()
                 world.loop.after(lasts, machine.begin)
             return
+        all_gone = world.rng.random() < 0.7
         wiped = core[: world.told.core.tolerance] if fault.how == "wipe" else []
         for machine in (*core, *world.pilots):
             if fault.how == "power" or machine.core:
-                machine.lose_power(wipe=machine in wiped)
+                machine.lose_power(machine in wiped, all_gone)
                 world.loop.after(lasts, machine.get_power)
 
     def back() -> None:
--- a/brackengate/emulator/mesh/scenario.py
+++ b/brackengate/emulator/mesh/scenario.py
@@ -92,7 +92,7 @@
     at: Annotated[Duration, Bounds(0, 24 * 3600 * S)]
     kind: Kinds
     on: tuple[str, ...] = ()  # machines: l0, p3; head, middle, tail; core, pilots.  Of `close`: none
-    to: tuple[str, ...] = ()  # of `cut`: from whom; none: from all others
+    to: tuple[str, ...] = ()  # of `cut`: from whom; none: from all others.  With `after`: whom it strikes
     lasts: Annotated[Duration, Bounds(0, 3600 * S)] = Duration(0)
     one_way: bool = False  # of `cut`: what `to` says still comes
     by: Annotated[Duration, Bounds(0, 3600 * S)] = Duration(5 * S)  # of `clock`
--- a/brackengate/emulator/mesh/world.py
+++ b/brackengate/emulator/mesh/world.py
@@ -112,13 +112,14 @@
 
     # --- power
 
-    def lose_power(self, wipe: bool = False) -> None:
+    def lose_power(self, wipe: bool = False, all_gone: bool = False) -> None:
+        """`all_gone`: every write goes that was not synced."""
         if not self.powered:
             return
         self.world.trace("power", self.name, wipe)
         self.powered = False
         self.world.net.power(self.ip, False)
-        self.disk.ends(power=True)
+        self.disk.ends(power=True, all_gone=all_gone)
         if wipe:
             self.disk.wipe()
         self.process.die()
@@ -180,6 +181,7 @@
                 self.pilots.append(Machine(self, f"p{number}", ip, zones[at], plant))
         self.seeds = [machine.name for machine in self.core[: min(3, told.core.count)]]
         self._lists: list[tuple[int, list[Machine]]] = [(0, self.core[: told.core.count])]  # since when
+        self.rng = random.Random(f"{seed}/faults")
         self.callers, self.operators = Callers(self, seed), Operators(self, seed)
 
     def trace(self, what: str, *of: object) -> None:
--- a/brackengate/pilot/entry.py
+++ b/brackengate/pilot/entry.py
@@ -265,6 +265,8 @@
             self._answer(visit, _again(operation.answer, visit.arrival))
         elif state in (State.CLAIMING, State.RUNNING):
             operation.waiters.append(visit)
+        elif state in (State.UNRUN, State.UNCLAIMED) and self._elsewhere(visit.step):
+            self._unclaim(visit, operation, Said.AWAY)
         elif state is State.UNRUN:
             beat = self._gate.beat
             why = self._gate.admits(
@@ -287,6 +289,11 @@
         else:
             self._say(visit, Said.UNKNOWN)
 
+    def _elsewhere(self, step: Step) -> bool:
+        """Whether a repeat is for another service: its route has moved since the key was claimed here."""
+        beat = self._gate.beat
+        return step.replay and beat is not None and step.route not in ("-", beat.plant)
+
     def _unclaim(self, visit: Visit, operation: Operation, said: Said) -> None:
         """It has not run here: another gate may run it, once the claim is lifted."""
         operation.state = State.CLAIMING  # who comes meanwhile waits
@@ -304,7 +311,8 @@
         """The gate that holds the key has the answer, or will have it."""
         address = self._address_of(operation.holder)
         left = max(1, (visit.deadline - self._clock.now()) // 1000)
-        step = Step(visit.step.instance, True, visit.step.number, replay=True)
+        service = self._gate.beat.plant if self._gate.beat is not None else "-"
+        step = Step(visit.step.instance, True, visit.step.number, replay=True, route=service)
         head = forwarded(visit.arrival, drop=(HOP, DEADLINE))
         head += b"%s%s: %d\r\n\r\n" % (step.lines(), DEADLINE, left)
         name = f"gate {operation.holder}"
--- a/brackengate/pilot/hop.py
+++ b/brackengate/pilot/hop.py
@@ -59,7 +59,7 @@
     replay: bool = False
     aim_ms: int = 0  # until its answer loses worth
     again: bool = False  # its client was refused before
-    route: str = "-"
+    route: str = "-"  # of a replay: the service that its route goes to
     rank: int = 0  # its route's priority; 0 is the highest
 
     def lines(self) -> bytes:
--- a/tests/pilot/test_entry.py
+++ b/tests/pilot/test_entry.py
@@ -130,8 +130,10 @@
             "life",
         )
 
-    def comes(self, key: str = "", replay: bool = False, left: int = 1000, attempt: str = "t1") -> Connection:
-        step = Step("i-1", bool(key), replay=replay, aim_ms=left, route="r")
+    def comes(
+        self, key: str = "", replay: bool = False, left: int = 1000, attempt: str = "t1", route: str = "r"
+    ) -> Connection:
+        step = Step("i-1", bool(key), replay=replay, aim_ms=left, route=route)
         headers = [
             (b"X-Brackengate-Attempt-Id", attempt.encode()),
             (b"X-Brackengate-Deadline-Ms", b"%d" % left),
@@ -211,6 +213,20 @@
         world.comes("k")
         self.assertThat(type(world.asked[0][0]), Equals(Claim))
 
+    def test_a_repeat_whose_route_has_moved_away_is_not_run_here(self) -> None:
+        """here:   claims k ... given up, not run            the claim is lifted
+        there:                      k comes, route moved ->  relayed    -> away: it runs there
+        """
+        for route, runs in (("other", 0), ("p", 1), ("-", 1)):  # "-": said by an earlier program
+            world = World()
+            world.comes("k", left=200)
+            world.loop.run(0.3)
+            world.core(OK)
+            repeat = world.comes("k", replay=True, attempt="t2", route=route)
+            if not runs:
+                self.assertThat(type(world.core(OK)), Equals(Unclaim))
+            self.assertThat([len(world.own.jobs), repeat.said], Equals([runs, "nothing" if runs else "away"]))
+
     def test_a_run_that_broke_blocks_its_key(self) -> None:
         world = World()
         first = world.comes("k")
