Search for schedules that hurt the mesh, fair ones alone

Need: drawn schedules lose two disks at once, which no rule asks to be borne; such finds are none. Beside a lost disk, until it has settled, others of the core may only be killed or lose power for a second (the operators' Tolerance and Settling).

--- a/brackengate/emulator/mesh/hunt.py
+++ b/brackengate/emulator/mesh/hunt.py
@@ -10,6 +10,7 @@
 
 from brackengate.emulator import report
 from brackengate.emulator.loop import MS, S
+from brackengate.emulator.mesh.faults import OVERLAP
 from brackengate.emulator.mesh.play import Played
 from brackengate.emulator.mesh.scenario import LASTING, STRIKES, Fault, MeshScenario, pilots
 from brackengate.installation.units import Duration
@@ -17,6 +18,7 @@
 MOST_FAULTS = 6
 KINDS = tuple(kind for kind in STRIKES if kind != "close")
 LONGEST = 8 * S
+SETTLING = 4 * S  # a machine that has returned counts as lost for so long
 TAIL = 5 * S  # of a scenario, behind its last fault
 
 
@@ -31,7 +33,7 @@
 
 
 def drawn(told: MeshScenario, rng: random.Random) -> Fault:
-    """A fault that the scenario allows, never on more of the core's disks than may be lost."""
+    """A fault that the scenario allows."""
     replace, kind = msgspec.structs.replace, rng.choice(KINDS)
     core = [f"l{n}" for n in range(told.core.count)] + ["head", "middle", "tail"]
     sides = [f"p{n}" for n in range(pilots(told))]
@@ -56,8 +58,34 @@
     return made
 
 
+def fair(told: MeshScenario) -> bool:
+    """Whether every rule has to hold: no more of the core is lost with its disk than `tolerance` says.
+
+    Guards against finds that are none.  Beside a lost disk, until it is back and has settled, others of the
+    core may only be killed or lose their power for a second.
+    """
+    spans: list[tuple[int, int, bool]] = []  # whether a disk goes
+    for one in told.fault:
+        at, lasts, disk = int(one.at), int(one.lasts), one.kind in ("wipe", "seeds")
+        core = [name for name in (*one.on, *(one.to if one.kind == "cut" else ())) if name[0] != "p"]
+        brief = one.kind in ("kill", "power") and lasts <= S
+        if not core or brief or one.kind in ("clock", "term"):
+            continue
+        if one.kind == "seeds":
+            lasts = OVERLAP
+        if one.after:
+            lasts += S  # it waits for its moment
+        disks = disk and core != ["core"]
+        spans += [(at, at + lasts + SETTLING, disk)] * (1 if disks or not disk else told.core.count)
+    for number, (since, until, disk) in enumerate(spans):
+        meet = [one for n, one in enumerate(spans) if n != number and one[0] < until and since < one[1]]
+        if disk and len(meet) >= max(1, told.core.tolerance):
+            return False
+    return True
+
+
 def mutated(told: MeshScenario, rng: random.Random) -> MeshScenario:
-    """One fault more, one less, or one changed."""
+    """One fault more, one less, or one changed; as it is where that would be too much."""
     found = list(told.fault)
     what = rng.choice(("add", "add", "drop", "change")) if found else "add"
     if what == "add" and len(found) < MOST_FAULTS:
@@ -74,7 +102,8 @@
         if rng.random() < 0.5:  # the same at another time
             new = msgspec.structs.replace(found[place], at=new.at)
         found[place] = new
-    return msgspec.structs.replace(told, fault=tuple(sorted(found, key=lambda one: int(one.at))))
+    made = msgspec.structs.replace(told, fault=tuple(sorted(found, key=lambda one: int(one.at))))
+    return made if fair(made) else told
 
 
 def smaller(told: MeshScenario) -> Iterable[MeshScenario]:
--- a/tests/emulator/test_mesh_lab.py
+++ b/tests/emulator/test_mesh_lab.py
@@ -3,19 +3,26 @@
 from __future__ import annotations
 
 import hashlib
+import random
 import subprocess
 import sys
 from collections.abc import Iterable
 from pathlib import Path
+from typing import Any
 
+import msgspec
 import pytest
 from click.testing import CliRunner
 
 from brackengate.cli import main
+from brackengate.emulator import hunt
 from brackengate.emulator.mesh import checks
+from brackengate.emulator.mesh.hunt import fair, mutated
 from brackengate.emulator.mesh.play import Played, play
-from brackengate.emulator.mesh.scenario import Limits, changed
+from brackengate.emulator.mesh.scenario import Fault, Limits, MeshScenario, changed, faults_of
 from brackengate.installation.reading import BadFile
+from brackengate.installation.units import Duration
+from brackengate.pilot.entry import Entry
 
 ROOT = Path(__file__).parent.parent.parent
 MESH = ROOT / "examples" / "lab" / "mesh"
@@ -147,3 +154,51 @@
     gone = (20 * S, "read", ((("r", 1, ("s",)),),))
     assert broken(gone, first=MOVED) == {"CONFIG"}
     assert broken((10 * S, "closing", ("power",)), gone, first=MOVED) == {"LOST"}
+
+
+# --- search
+
+
+def fault(at: float, kind: str, *on: str, lasts: float = 0.3) -> Fault:
+    return Fault(at=Duration(int(at * S)), kind=kind, on=on, lasts=Duration(int(lasts * S)))  # type: ignore[arg-type]
+
+
+def small(*faults: Fault, length: int = 5) -> MeshScenario:
+    path = MESH / "calm.toml"
+    sets = (f"length={length}s", "route.bid.rate=15.0", "route.bid.again=1.0")
+    return msgspec.structs.replace(changed(path.read_text(), str(path), sets), fault=faults)
+
+
+def test_a_search_finds_a_guard_that_is_gone_and_shrinks_the_schedule(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    claimed = Entry._claimed
+
+    def forgetful(self: Entry, operation: Any, result: Any) -> None:
+        ours = result is not None and result.get("gate") == self._me
+        claimed(self, operation, {"ok": True} if ours else result)
+
+    monkeypatch.setattr(Entry, "_claimed", forgetful)
+    told = small(
+        fault(0.5, "stall", "tail", lasts=0.2), fault(1, "kill", "pilots"), fault(1.5, "clock", "l0")
+    )
+    worst, score = hunt.search(told, 3, 3)
+    assert "TWICE" in score.rules
+    least, runs = hunt.shrink(worst, 3, hunt.same_rules(["TWICE"]), most=12)
+    assert runs <= 12 and len(least.fault) < len(worst.fault)
+    assert "TWICE" in hunt.judge(least, 3)[0].rules
+    assert {one.kind for one in least.fault} & {"kill", "power", "term", "replace", "reuse"}
+
+
+def test_no_schedule_is_drawn_that_loses_more_than_may_be_lost() -> None:
+    assert fair(small(fault(1, "wipe", "l0"), fault(1.1, "kill", "core")))
+    assert fair(small(fault(1, "wipe", "l0"), fault(7, "wipe", "l1"), length=9))
+    assert not fair(small(fault(1, "wipe", "l0"), fault(2, "wipe", "l1")))
+    assert not fair(small(fault(1, "wipe", "l0"), fault(2, "freeze", "l1", lasts=3)))
+    assert not fair(small(fault(1, "wipe", "core")))
+    told, rng, kinds = small(length=20), random.Random(1), set()
+    for _ in range(300):
+        told = mutated(told, rng)
+        kinds |= {one.kind for one in told.fault}
+        assert fair(told) and not faults_of(told)
+    assert kinds >= {"wipe", "cut", "freeze", "seeds", "full", "reuse"}
