Let timers of the emulated mesh be late, links lose and connections reset

Need: with timers to the microsecond and links without loss few interleavings are met. Each timer of a role is late by 0.15 ms on average and 4 ms at most, drawn from the machine's seed; loss delays what is sent, as elsewhere in the laboratory; reset breaks all of a process's connections.

--- a/brackengate/emulator/mesh/checks.py
+++ b/brackengate/emulator/mesh/checks.py
@@ -135,23 +135,7 @@
         return all(state.path(name, one) for one in self._most(state))
 
 
-_EVENTS = frozenset(
-    (
-        "up",
-        "down",
-        "left",
-        "term",
-        "power",
-        "frozen",
-        "thawed",
-        "cut",
-        "joined",
-        "sick",
-        "well",
-        "clock",
-        "removed",
-    )
-)
+_EVENTS = frozenset("up down left term power frozen thawed cut joined sick well clock removed reset".split())
 
 
 class Seen:
--- a/brackengate/emulator/mesh/faults.py
+++ b/brackengate/emulator/mesh/faults.py
@@ -25,6 +25,8 @@
         world.loop.after(int(fault.every), partial(_begins, world, fault))
     if fault.kind == "close":
         _close(world, fault)
+    elif fault.kind == "loss":
+        _loss(world, fault)
     elif fault.after == "ack":
         world.operators.acknowledged.append(partial(_strike, world, fault))
         world.operators.change()
@@ -100,6 +102,9 @@
                 machine.disk.full = max(machine.disk.full, until)
             world.trace("sick", machine.name)
             loop.after(lasts, partial(world.trace, "well", machine.name))
+        case "reset":
+            world.trace("reset", machine.name)
+            machine.process.reset()
         case "clock":
             machine.off += -int(fault.by) if fault.back else int(fault.by)
             world.trace("clock", machine.name)
@@ -113,6 +118,20 @@
             _leaves(world, machine, fault.kind == "reuse")
 
 
+def _loss(world: World, fault: Fault) -> None:
+    """On all links: what is lost comes later, as TCP sends it again."""
+    world.trace("fault", fault.kind, ())
+    machines = [one.name for one in (*world.core, *world.pilots) if one.used]
+    for on in (True, False):
+
+        def turn(on: bool = on) -> None:
+            world.net.loss = float(fault.part) if on else 0.0
+            for name in machines:
+                world.trace("sick" if on else "well", name)
+
+        world.loop.after(0 if on else int(fault.lasts), turn)
+
+
 def _cut(world: World, fault: Fault, machines: list[Machine]) -> None:
     others = _named(world, fault.to) or [*world.listed(), *world.pilots]
     pairs = [(one, other) for one in machines for other in others if other not in machines]
--- a/brackengate/emulator/mesh/ground.py
+++ b/brackengate/emulator/mesh/ground.py
@@ -17,6 +17,7 @@
 from brackengate.net.sockets import READ_BUFFER, Address
 
 NEVER = 1 << 60
+LATE, LATEST = 150, 4 * MS  # of timers: on average, and at the most
 
 
 class Ways(Network):
@@ -122,8 +123,9 @@
     Frozen, nothing of it happens; what was due meanwhile happens in order when it wakes.
     """
 
-    def __init__(self, loop: Loop, net: Network, place: str, name: str) -> None:
+    def __init__(self, loop: Loop, net: Network, place: str, name: str, rng: random.Random) -> None:
         super().__init__(loop, net, place, name)
+        self._rng = rng
         self._slept: deque[Callable[[], Any]] | None = None
 
     def enter(self, do: Callable[[], Any]) -> None:
@@ -151,6 +153,12 @@
         for do in slept:
             self.enter(do)
 
+    def reset(self) -> None:
+        """Break all its connections, at both ends."""
+        for end in list(self._ends):
+            end.over = True
+            end.reset()
+
     def die(self) -> None:
         if not self.alive:
             return
@@ -168,6 +176,8 @@
 
     def _set(self, when: int, callback: Callable[..., Any], args: tuple[Any, ...]) -> Timer:
         timer = Timer(when, partial(callback, *args) if args else callback)
+        if when > self._loop.now:  # a timer is a little late, and now and then more
+            when += int(min(LATEST, self._rng.expovariate(1 / LATE)))
         self._loop.at(when, partial(self.enter, timer))
         return timer
 
--- a/brackengate/emulator/mesh/hunt.py
+++ b/brackengate/emulator/mesh/hunt.py
@@ -38,7 +38,7 @@
     core = [f"l{n}" for n in range(told.core.count)] + ["head", "middle", "tail"]
     sides = [f"p{n}" for n in range(pilots(told))]
     places = (core if "l" in STRIKES[kind] else []) + (sides if "p" in STRIKES[kind] else [])
-    on = (rng.choice(places),)
+    on: tuple[str, ...] = (rng.choice(places),) if places else ()
     if kind in ("kill", "freeze", "power") and rng.random() < 0.2:
         on = (rng.choice(("core", "pilots")),)
     length = max(1, int(told.length) - 2 * S)
@@ -50,7 +50,9 @@
         by=Duration(rng.randrange(S, 60 * S, 100 * MS)),
         back=rng.random() < 0.5,
     )
-    if kind == "cut":
+    if kind == "loss":
+        made = replace(made, part=round(rng.uniform(0.01, 0.3), 2))
+    elif kind == "cut":
         to = rng.choice([(), ("core",), ("pilots",), (rng.choice([one for one in core + sides]),)])
         made = replace(made, to=to, one_way=rng.random() < 0.4)
     elif kind in ("kill", "power", "wipe") and on[0] in core and rng.random() < 0.4:
--- a/brackengate/emulator/mesh/scenario.py
+++ b/brackengate/emulator/mesh/scenario.py
@@ -14,9 +14,9 @@
 
 Kinds = Literal[
     "kill", "term", "power", "wipe", "freeze", "cut", "stall", "full", "clock", "seeds",
-    "replace", "crash", "reuse", "close",
+    "replace", "crash", "reuse", "close", "reset", "loss",
 ]  # fmt: skip
-LASTING = ("kill", "power", "wipe", "freeze", "cut", "stall", "full")  # `lasts` is needed
+LASTING = ("kill", "power", "wipe", "freeze", "cut", "stall", "full", "loss")  # `lasts` is needed
 STRIKES = {  # what a kind may strike: machines of the core, with pilots, all
     "kill": "lp",
     "term": "p",
@@ -32,6 +32,8 @@
     "crash": "p",
     "reuse": "p",
     "close": "",
+    "reset": "lp",
+    "loss": "",
 }
 SEATS = ("head", "middle", "tail")
 MACHINE = re.compile(r"(?:[lp][0-9]{1,4}|head|middle|tail|core|pilots)")
@@ -96,6 +98,7 @@
     lasts: Annotated[Duration, Bounds(0, 3600 * S)] = Duration(0)
     one_way: bool = False  # of `cut`: what `to` says still comes
     by: Annotated[Duration, Bounds(0, 3600 * S)] = Duration(5 * S)  # of `clock`
+    part: Part = 0.05  # of `loss`: of what is sent, which comes late
     back: bool = False  # of `clock`: it goes behind
     after: Literal["", "sync", "ack"] = ""  # waits for the next commit of a claim there, or the next
     # acknowledgement of a configuration
--- a/brackengate/emulator/mesh/world.py
+++ b/brackengate/emulator/mesh/world.py
@@ -45,7 +45,7 @@
         self.upstream: Upstream | None = None
         self.role: Pilot | Lighthouse | None = None
         self.rng = random.Random(f"{world.seed}/{name}")
-        self.process = RoleProcess(world.loop, world.net, ip, name)
+        self.process = RoleProcess(world.loop, world.net, ip, name, self.rng)
         self.process.alive = False
         world.net.zones[ip] = zone
         sync = int(world.told.core.sync)
@@ -66,7 +66,8 @@
             return
         world = self.world
         self.used, self.role, self.plant = True, None, self.next_plant
-        process = self.process = RoleProcess(world.loop, world.net, self.ip, self.name)
+        rng = random.Random(self.rng.getrandbits(64))
+        process = self.process = RoleProcess(world.loop, world.net, self.ip, self.name, rng)
         world.trace("up", self.name)
         text = world.settings(self, first)
         process.call_later(self.rng.uniform(0.8, 1.4) * STARTS / 1e6, self._run, process, parse(text))
