--- a/brackengate/lighthouse/store.py
+++ b/brackengate/lighthouse/store.py
@@ -18,14 +18,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import errno
 import logging
 import os
 import sqlite3
 from collections.abc import Iterable
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 from zlib import crc32
 
 import msgspec
@@ -323,3 +325,33 @@
         os.fsync(handle)
     finally:
         os.close(handle)
+
+
+# --- as a member uses it
+
+
+class Waits(Protocol):
+    """A disk as a member uses it: one call after the other, none of which holds up the loop."""
+
+    async def open(self, first: bool) -> Kept:
+        """All that is there; errors as of `open_disk`, of which some are worth another try."""
+
+    def write(self, stores: list[Store]) -> asyncio.Future[None]:
+        """Done once all of it is on the disk; it has the error where it can't be."""
+
+
+class Drive:
+    """The folder's disk, and the thread that waits for it."""
+
+    def __init__(self, folder: str) -> None:
+        self._folder, self._threads = folder, ThreadPoolExecutor(1)
+        self._disk: Disk | None = None
+
+    async def open(self, first: bool) -> Kept:
+        loop = asyncio.get_running_loop()
+        self._disk, kept = await loop.run_in_executor(self._threads, open_disk, self._folder, first)
+        return kept
+
+    def write(self, stores: list[Store]) -> asyncio.Future[None]:
+        assert self._disk is not None
+        return asyncio.get_running_loop().run_in_executor(self._threads, self._disk.write, stores)
--- a/brackengate/pilot/entry.py
+++ b/brackengate/pilot/entry.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import logging
-import secrets
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -121,20 +120,18 @@
         ask: Callable[[Ask, Callable[[Any], None], float], None],
         peers: Pool,
         address_of: Callable[[str], Address],
+        life: str,
         wake: Wake | None = None,
     ) -> None:
         """`pool`: to the upstream alone.  `peers`: to other pilots.  `me`: this machine's name among
-        gates."""
+        gates.  `life`: of this process, like no other's: a claim of an earlier one is not ours."""
         self._loop, self._clock, self._pool, self._gate = loop, clock, pool, gate
         self._me, self._application, self._ask = me, application, ask
         self._peers, self._address_of = peers, address_of
         self._wake = wake or Wake()
         self.load = Load()
         self._operations = Operations(window, KEPT_BYTES)
-        self._life, self._count = (
-            secrets.token_hex(6),
-            0,
-        )  # of this process: a claim of an earlier one is not ours
+        self._life, self._count = life, 0
         self.visits: set[Visit] = set()
 
     def begin(self, arrival: Arrival, connection: CallerConnection) -> None:
@@ -375,6 +372,8 @@
                 self._answer(visit, reply, why="the first try's answer")
         elif state in (State.CLAIMING, State.RUNNING):
             operation.waiters.append(visit)
+        elif state in (State.UNRUN, State.UNCLAIMED) and self._elsewhere(visit.step):
+            self._unclaim(visit, operation, Said.AWAY)
         elif state is State.UNRUN:
             beat = self._gate.beat
             why = self._gate.admits(
@@ -397,6 +396,11 @@
         else:
             self._say(visit, Said.UNKNOWN)
 
+    def _elsewhere(self, step: Step) -> bool:
+        """Whether a repeat is for another service: its route has moved since the key was claimed here."""
+        beat = self._gate.beat
+        return step.replay and beat is not None and step.route not in ("-", beat.plant)
+
     def _unclaim(self, visit: Visit, operation: Operation, said: Said) -> None:
         """It has not run here: another gate may run it, once the claim is lifted."""
         operation.state = State.CLAIMING  # who comes meanwhile waits
@@ -414,7 +418,8 @@
         """The gate that holds the key has the answer, or will have it."""
         address = self._address_of(operation.holder)
         left = max(1, (visit.deadline - self._clock.now()) // 1000)
-        step = Step(visit.step.instance, True, visit.step.number, replay=True)
+        service = self._gate.beat.plant if self._gate.beat is not None else "-"
+        step = Step(visit.step.instance, True, visit.step.number, replay=True, route=service)
         head = forwarded(visit.arrival, drop=(HOP, DEADLINE))
         head += b"%s%s: %d\r\n\r\n" % (step.lines(), DEADLINE, left)
         name = f"gate {operation.holder}"
--- a/brackengate/pilot/way.py
+++ b/brackengate/pilot/way.py
@@ -27,6 +27,7 @@
     Settings,
     Standing,
 )
+from brackengate.net.ground import Wire
 from brackengate.net.http import CallerConnection
 from brackengate.net.node import OVERDUE, REFUSED, Clock, Message, Node, Reply
 from brackengate.net.sockets import Address, SocketBudget
@@ -125,10 +126,20 @@
         budget: SocketBudget,
         seed: int,
         bytes_: ByteBudget | None = None,
+        wire: Wire | None = None,
     ) -> None:
         self.name, self._clock = name, clock
         self.pool = Pool(
-            loop, budget, CONNECT_S, IDLE_S, bytes_, judge=judge, settle=0, silent_ms=SILENT_MS, slow=False
+            loop,
+            budget,
+            CONNECT_S,
+            IDLE_S,
+            bytes_,
+            wire=wire,
+            judge=judge,
+            settle=0,
+            silent_ms=SILENT_MS,
+            slow=False,
         )  # a node's list is its pool's
         settings = Settings(
             classes=(),
@@ -202,11 +213,12 @@
         budget_of_tries: tuple[float, float],
         wake: Wake,
         bytes_: ByteBudget | None = None,
+        wire: Wire | None = None,
     ) -> None:
         """`plant`: the service beside this pilot.  `address_of`: where the pilot of a machine is reached.
         `budget_of_tries`: the ratio and the slack that all pilots share.  `bytes_`: the process's bound on
-        bodies."""
-        self._wake = wake
+        bodies.  `wire`: as of a pool."""
+        self._wake, self._wire = wake, wire
         self._tries = budget_of_tries
         self._loop, self._clock, self._budget, self._table = loop, clock, budget, table
         self._plant, self._address_of, self._rng, self._bytes = plant.encode(), address_of, rng, bytes_
@@ -226,7 +238,7 @@
                 if name not in self.services:
                     seed = self._rng.getrandbits(64)
                     self.services[name] = Service(
-                        name, self._loop, self._clock, self._budget, seed, self._bytes
+                        name, self._loop, self._clock, self._budget, seed, self._bytes, self._wire
                     )
                     self.services[name].node.observer = self._wake
             for name, service in self.services.items():
--- a/tests/pilot/pilots.py
+++ b/tests/pilot/pilots.py
@@ -114,6 +114,7 @@
             self._ask,
             peers,
             self._address_of,
+            "life",
         )
         table = Table()
         rng, tries = random.Random(1), (0.2, 50.0)
