--- a/brackengate/emulator/mesh/checks.py
+++ b/brackengate/emulator/mesh/checks.py
@@ -181,8 +181,8 @@
                     self.drains[u] = (when, ip)
                 case "begins", (str(u), _, str(ip)):
                     self.home[u] = ip
-                case "read", (tuple(held),):
-                    self.reads.append((when, {n: (v, tuple(s)) for n, v, s in held}))
+                case "read", (tuple(held), int(since)):
+                    self.reads.append((since, {n: (v, tuple(s)) for n, v, s in held}))
                 case "term", (str(name),):
                     self.terms[name].append(when)
                 case "up", (str(name),):
@@ -365,7 +365,10 @@
 
 
 def read_back(seen: Seen) -> Broken:
-    """What was acknowledged, read back at the end; after a closing fault what is missing is LOST."""
+    """What was acknowledged before it was asked, read back at the end.
+
+    After a closing fault what is missing is LOST.
+    """
     broken = Broken("LOST" if seen.closing else "CONFIG")
     if not seen.reads:
         broken.at(seen.last, "nothing is read back")
@@ -373,7 +376,9 @@
     when, held = seen.reads[-1]
     for name, versions in seen.versions.items():
         sound = {one.number: one for one in versions if one.sound}
-        acked = max((one.number for one in sound.values() if one.acked is not None), default=0)
+        acked = max(
+            (one.number for one in sound.values() if one.acked is not None and one.acked <= when), default=0
+        )
         number, services = held.get(name, (0, ()))
         if number:
             sent = sound.get(number)
--- a/brackengate/emulator/mesh/people.py
+++ b/brackengate/emulator/mesh/people.py
@@ -371,9 +371,10 @@
 
         def ask() -> None:
             data = message("POST /v1/rpc?call=config.read HTTP/1.1", {"Host": "core"})
-            Call(self._process, self._rng.choice(self._around.controls(0)), data, done, S)
+            address, since = self._rng.choice(self._around.controls(0)), self._loop.now
+            Call(self._process, address, data, partial(done, since), S)
 
-        def done(heard: Heard | None, why: str) -> None:
+        def done(since: int, heard: Heard | None, why: str) -> None:
             if heard is not None and heard.status == 200:
                 held: list[tuple[str, int, tuple[str, ...]]] = []
                 for host in json.loads(heard.body).get("Hosts", []):
@@ -382,7 +383,7 @@
                         held.append(
                             (path["Name"], int(path["Revision"][1:]), tuple(split or [path["Plant"]]))
                         )
-                self._around.trace("read", tuple(held))
+                self._around.trace("read", tuple(held), since)
             else:
                 self._around.trace("unread", heard.status if heard is not None else why)
             if self._loop.now - first < again:
