--- a/brackengate/emulator/mesh/faults.py
+++ b/brackengate/emulator/mesh/faults.py
@@ -6,7 +6,7 @@
 from functools import partial
 
 from brackengate.emulator.loop import MS, S
-from brackengate.emulator.mesh.scenario import Fault
+from brackengate.emulator.mesh.scenario import Fault, MeshScenario
 from brackengate.emulator.mesh.world import BACK, CALM, Machine, World
 from brackengate.lighthouse.actions import Store
 
@@ -20,6 +20,15 @@
         yield partial(world.loop.at, CALM + int(fault.at), partial(_begins, world, fault))
 
 
+def over(told: MeshScenario) -> int:
+    """When the last fault is over, and what comes of it."""
+    ends = [0]
+    for fault in told.fault:
+        last = int(told.length) if fault.every or fault.after else int(fault.at)
+        ends.append(CALM + last + max(int(fault.lasts), OVERLAP if fault.kind == "seeds" else S))
+    return max(ends)
+
+
 def _begins(world: World, fault: Fault) -> None:
     if fault.every and world.loop.now + int(fault.every) < CALM + int(world.told.length):
         world.loop.after(int(fault.every), partial(_begins, world, fault))
--- a/brackengate/emulator/mesh/play.py
+++ b/brackengate/emulator/mesh/play.py
@@ -40,7 +40,7 @@
 
 def play(told: MeshScenario, seed: int) -> Played:
     world = World(told, seed)
-    records = world.run(faults.schedule(world))
+    records = world.run(faults.schedule(world), faults.over(told))
     names = {machine.ip: machine.name for machine in (*world.core, *world.pilots)}
     seen = checks.Seen(records, told.limits, names, CALM + int(told.length))
     return Played(world, checks.verdict(seen), summarise(records, told))
