Refuse only what has not run, also where a request may be repeated

The module refuses what may be repeated whatever became of it; the mesh's words passed that on. Now 502 where an attempt may have run.

--- a/brackengate/pilot/way.py
+++ b/brackengate/pilot/way.py
@@ -29,7 +29,7 @@
 )
 from brackengate.net.ground import Wire
 from brackengate.net.http import CallerConnection
-from brackengate.net.node import OVERDUE, REFUSED, Clock, Message, Node, Reply
+from brackengate.net.node import FAILED, OVERDUE, REFUSED, Clock, Message, Node, Reply
 from brackengate.net.sockets import Address, SocketBudget
 from brackengate.net.upstream import Pool, Result
 from brackengate.pilot.budget import ration
@@ -108,10 +108,13 @@
         said = hop_of(answer.fields) if answer is not None else None
         if said is Said.BUSY:
             return Reply(CONFLICT)
-        if status == REFUSED or (
-            said is Said.UNKNOWN and len(ran) <= 1
-        ):  # this try has not run, and will not
-            return Reply(REFUSED, retry_after=retry_after or RETRY_AFTER)
+        if not ran or (said is Said.UNKNOWN and len(ran) <= 1):  # this try has not run, and will not
+            if status == REFUSED or ran:
+                return Reply(REFUSED, retry_after=retry_after or RETRY_AFTER)
+        elif (
+            status == REFUSED
+        ):  # the module refuses what may be repeated; a 503 would promise that it never ran
+            return Reply(FAILED)
         return Reply(status)
 
 
--- a/tests/pilot/test_deciders.py
+++ b/tests/pilot/test_deciders.py
@@ -5,11 +5,16 @@
 from testtools import TestCase
 from testtools.matchers import Equals, LessThan
 
+from brackengate.http.upstream import Answered
+from brackengate.interface import Earlier, Endpoint, Outcome
+from brackengate.net.node import FAILED, OVERDUE, REFUSED
+from brackengate.net.upstream import Result
 from brackengate.pilot.follow import order
 from brackengate.pilot.gate import Beat, Gate, Operations, State
-from brackengate.pilot.hop import HOP, Step, step_of
+from brackengate.pilot.hop import HOP, Said, Step, step_of
 from brackengate.pilot.load import Load
 from brackengate.pilot.table import Table, choose, host_of
+from brackengate.pilot.way import MeshWords
 from brackengate.signals.items import Part
 from brackengate.signals.words import Instance
 
@@ -194,3 +199,27 @@
             name, _, value = step.lines().strip().partition(b": ")
             self.assertThat([name, step_of({HOP.lower(): value})], Equals([HOP, step]))
         self.assertThat(step_of({}), Equals(None))
+
+
+class Callers(TestCase):
+    """What a client is told of a request that was not served."""
+
+    def test_only_what_has_not_run_is_refused(self) -> None:
+        def answer(said: Said, status: int = 503) -> Result:
+            fields = {HOP.lower(): said.value}
+            return Result(Outcome.TIMEOUT, answer=Answered(status, fields, b"", True, [(HOP, said.value)]))
+
+        ran = Earlier(Endpoint("i-1"), 0)
+        cases = (
+            ("all turned it away", REFUSED, answer(Said.FULL), (), 503),
+            ("it broke behind the request", REFUSED, answer(Said.BROKEN), (ran,), 502),
+            ("nothing came back at all", REFUSED, None, (ran,), 502),
+            ("turned away, after it broke elsewhere", REFUSED, answer(Said.FULL), (ran,), 502),
+            ("its operation is known to nobody", FAILED, answer(Said.UNKNOWN), (ran,), 503),
+            ("so is it, but another attempt of it broke", FAILED, answer(Said.UNKNOWN), (ran, ran), 502),
+            ("its operation is at work", FAILED, answer(Said.BUSY, 409), (ran,), 409),
+            ("the upstream's own error", REFUSED, answer(Said.RAN, 500), (ran,), 500),
+            ("its time is up", OVERDUE, None, (ran,), 504),
+        )
+        for what, status, last, might, told in cases:
+            self.assertThat(MeshWords().unserved(status, 0, last, might).status, Equals(told), what)
