--- a/tests/emulator/test_mesh_hard.py
+++ b/tests/emulator/test_mesh_hard.py
@@ -156,3 +156,12 @@
 
     monkeypatch.setattr(Gate, "heard", deaf)
     assert "DRAIN" in first("leaving", 2, 8, "route.read.rate=100.0").rules
+
+
+def test_a_relayed_repeat_that_runs_where_its_route_was_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
+    """gate of the old service   claims k ... core killed: given up, unrun       runs k
+    route                                                moves, is acked
+    gate of the new one                                          repeat of k -> relayed
+    """
+    monkeypatch.setattr(entry.Entry, "_elsewhere", lambda self, step: False)
+    assert "CONFIG" in played("moved-while-claimed.toml").rules
