--- a/brackengate/emulator/mesh/people.py
+++ b/brackengate/emulator/mesh/people.py
@@ -5,7 +5,7 @@
 import json
 import random
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import partial
 from typing import Protocol
 
@@ -226,18 +226,10 @@
     body: bytes
     items: list[tuple[str, int, tuple[str, ...]]]  # route, version, services; none: dropped
     sound: bool = True
-    done: Callable[[int], None] = lambda status: None
     tries: int = 0
     odd: int = 0  # other 4xx
 
 
-@dataclass(slots=True)
-class Version:
-    number: int = 0
-    services: tuple[str, ...] = ()
-    kept: dict[str, object] = field(default_factory=dict)
-
-
 class Operators:
     """Two who change the configuration; one reads it back at the end."""
 
--- a/brackengate/emulator/mesh/scenario.py
+++ b/brackengate/emulator/mesh/scenario.py
@@ -35,7 +35,6 @@
     "reset": "lp",
     "loss": "",
 }
-SEATS = ("head", "middle", "tail")
 MACHINE = re.compile(r"(?:[lp][0-9]{1,4}|head|middle|tail|core|pilots)")
 
 
