Let a late request of a higher rank shut nobody out at the gate

Since short work may come late, a kind's bound for the others was its aim less its own time, so a request that came again with its aim nearly over set it to nothing, and whatever was of a lower rank was refused for up to 2 s wherever anybody waited.

Change: only one that is not late yet sets the bound, as it was before. A test holds it, which fails with the line as it stood.

--- a/brackengate/pilot/load.py
+++ b/brackengate/pilot/load.py
@@ -27,7 +27,7 @@
 
     mean: float = 0.0  # what one takes that does not wait
     rank: int = 0
-    bears: float = 0.0  # the wait that one can bear that has just begun, and still be in its aim
+    bears: float = 0.0  # the wait that one can bear that has just begun
     seen: int = -(2**60)
 
 
@@ -57,12 +57,13 @@
         """
         kind = self._kinds.setdefault(name, Kind())
         own, wait = kind.mean or self._all, self._wait()
-        kind.bears = max(0.0, aim - own)
+        if aim > own:  # one that comes late, as after a refusal, does not say what a first one can bear
+            kind.bears = max(LATE_PART * (left - own), aim - own)
         kind.rank, kind.seen = rank, now
         if wait <= 0:
             return True
         short = 1 - min(1.0, own * self.running / self._work) if self._work else 0.0
-        bears = max(kind.bears, (LATE_PART + (LATE_SHORT - LATE_PART) * short) * (left - own))
+        bears = max(aim - own, (LATE_PART + (LATE_SHORT - LATE_PART) * short) * (left - own))
         bears *= 1.0 if again else FRESH_PART
         for other in self._kinds.values():
             if other is not kind and other.rank <= rank and now - other.seen < RECENT and other.mean:
--- a/tests/pilot/test_deciders.py
+++ b/tests/pilot/test_deciders.py
@@ -184,6 +184,12 @@
                 takes.append(load.takes(kind, 1, 30 * MS, 200 * MS, False, 0))
             self.assertThat(takes.index(False), Equals(bears), kind)
 
+    def test_one_of_a_higher_rank_that_is_late_already_does_not_shut_out_the_others(self) -> None:
+        load = self.loaded(5, bid=60 * MS, r=100 * MS)
+        load.takes("bid", 1, 200 * MS, 500 * MS, False, 0)
+        load.takes("bid", 1, 10 * MS, 300 * MS, True, 0)  # comes again, with its aim nearly over
+        self.assertThat(load.takes("r", 2, 300 * MS, 700 * MS, False, 0), Equals(True))
+
     def test_what_waited_behind_long_work_is_not_taken_for_long_itself(self) -> None:
         load = self.loaded(8, call=20 * MS, r=100 * MS)
         for _ in range(30):  # each waits for five of those before it: 125 ms
