Give pings a send time and learners a copied index, for leases and learners

Leases must run from the sending of the ping that is answered, and a new member must hold the state before it takes its seat. These are the fields that the parts share. Change: Ping.sent, Ping.copied, Pong.sent, Pong.closed, Log.agreed, Log.copied; nothing uses them yet. Measured: tests of the control replicas, the proxies and the model check pass.

--- a/brackengate/lighthouse/view.py
+++ b/brackengate/lighthouse/view.py
@@ -49,6 +49,8 @@
     place: int = 0
     whole: bool = False  # it holds all that its seat owes
     synced: int = 0  # the epoch in which it has met the one before it
+    agreed: int = -1  # the last index that is known to be committed
+    copied: int = -1  # a learner's complete copy reaches to this index; -1: it is not complete
 
 
 @dataclass(slots=True)
--- a/brackengate/signals/words.py
+++ b/brackengate/signals/words.py
@@ -122,10 +122,14 @@
     zone: str = ""
     hears: tuple[str, ...] = ()
     leaves: bool = False  # it was told to give up its seat
+    sent: int = 0  # the sender's steady clock when it sent this; the pong brings it back
+    copied: int = -1  # a learner's complete copy reaches to this index of the log; -1: it is not complete
 
 
 class Pong(Word, frozen=True, tag="pong"):
     epoch: int
+    sent: int = 0  # of the ping that this answers: a lease runs from its sending
+    closed: bool = False  # the sender has promised to store nothing more in this epoch
 
 
 class WantView(Word, frozen=True, tag="view?"):
