--- a/brackengate/bridge/archive.py
+++ b/brackengate/bridge/archive.py
@@ -39,7 +39,7 @@
 
 
 def pack(held: Items, taken: str) -> bytes:
-    content = msgspec.to_builtins(Content(held.agreed, held.epoch, taken, held.items))
+    content = msgspec.to_builtins(Content(held.commit_index, held.epoch, taken, held.items))
     file = {"form": FORM, "checksum": _checksum(content), "content": content}
     return msgspec.json.format(msgspec.json.encode(file), indent=1) + b"\n"
 
--- a/brackengate/bridge/ask.py
+++ b/brackengate/bridge/ask.py
@@ -12,7 +12,6 @@
 from brackengate.signals.lines import Lines
 from brackengate.signals.words import (
     Amend,
-    Done,
     Explain,
     Follows,
     Held,
@@ -22,6 +21,7 @@
     Line,
     Read,
     Rejoin,
+    Result,
     Stand,
     Standing,
 )
@@ -48,7 +48,7 @@
     name = type(what).__name__.lower()
 
     def on_line(lines: Lines, word: Line) -> None:
-        if isinstance(word, Done) and not answer.done():
+        if isinstance(word, Result) and not answer.done():
             answer.set_result(word.result)
 
     def on_lost(lines: Lines) -> None:
@@ -120,7 +120,7 @@
                 self.address(addr)
                 for one in found.values()
                 for addr in (
-                    *(seat.addr for seat in one.seats),
+                    *(seat.addr for seat in one.members),
                     *(near.addr for near in one.neighbours if near.heard),
                 )
             }
--- a/brackengate/bridge/commands.py
+++ b/brackengate/bridge/commands.py
@@ -100,7 +100,7 @@
 
     async def use(bridge: Bridge) -> int:
         standings, failed = await bridge.standings()
-        names = {bridge.address(seat.addr): seat.addr for one in standings for seat in one.seats}
+        names = {bridge.address(seat.addr): seat.addr for one in standings for seat in one.members}
         lost = [(names.get(e.peer, f"{e.peer[0]}:{e.peer[1]}"), e.why) for e in failed]
         view = figures.newest(standings)
         parts = {
@@ -110,15 +110,17 @@
         }
         unseen, spare = figures.unseen(standings), figures.spare(standings)
         if as_json:
-            seats = [seat.addr for seat in view.seats]
-            row = {"view": view.epoch, "chain": seats, "needs": view.enough, "spare": spare}
+            seats = [seat.addr for seat in view.members]
+            row = {"view": view.epoch, "chain": seats, "needs": view.min_replicas, "spare": spare}
             _line("view", {**row, "unseen": unseen})
             for kind, rows in parts.items():
                 for row in rows:
                     _line(kind, row)
         else:
             loss = f"{spare} may be lost" if spare >= 0 else f"NO WRITES: {-spare} too few"
-            click.echo(f"view {view.epoch}: {len(view.seats)} members, a write needs {view.enough}; {loss}")
+            click.echo(
+                f"view {view.epoch}: {len(view.members)} members, a write needs {view.min_replicas}; {loss}"
+            )
             for kind, columns in COLUMNS.items():
                 if parts[kind]:
                     click.echo("\n" + figures.table(parts[kind], columns.split()))
@@ -304,7 +306,7 @@
         with contextlib.suppress(ExceptionGroup):
             standings, _ = await bridge.standings()
             view = figures.newest([one for one in standings if one.addr != member.addr] or standings)
-            if any(seat.addr == member.addr for seat in view.seats) is seated:
+            if any(seat.addr == member.addr for seat in view.members) is seated:
                 break
         if time.monotonic() >= until:
             click.echo(
@@ -314,9 +316,9 @@
             )
             return INCOMPLETE
         await asyncio.sleep(LOOK_S)
-    click.echo(f"view {view.epoch}: {' '.join(seat.addr for seat in view.seats)}")
+    click.echo(f"view {view.epoch}: {' '.join(seat.addr for seat in view.members)}")
     spare = figures.spare(standings)
-    if not seated and spare < view.enough - 1:
+    if not seated and spare < view.min_replicas - 1:
         click.echo(f"brackengate: {max(0, spare)} more may be lost before writes wait", err=True)
     return 0
 
@@ -397,7 +399,7 @@
                 _line("hop", {"pilot": pilot, **hop})
             else:
                 click.echo(hops.text(pilot, hop))
-        silent = sorted(one.addr for one in pilots if one.place is None)
+        silent = sorted(one.addr for one in pilots if one.index is None)
         if silent:
             click.echo(f"brackengate: step explain: no word from pilots {' '.join(silent)}", err=True)
         if not found:
@@ -435,7 +437,7 @@
         except OSError as error:
             part.unlink(missing_ok=True)
             fail(f"step write, file {file}: {error.strerror}", BAD)
-        click.echo(f"{file}: {len(held.items)} items at place {held.agreed}")
+        click.echo(f"{file}: {len(held.items)} items at place {held.commit_index}")
         return 0
 
     _run(at, use)
--- a/brackengate/bridge/figures.py
+++ b/brackengate/bridge/figures.py
@@ -14,24 +14,24 @@
 
 def newest(standings: Iterable[Standing]) -> Standing:
     """Whose word on the view and the list counts: the highest epoch, then the highest agreed place."""
-    return max(standings, key=lambda one: (one.epoch, one.seated, one.agreed))
+    return max(standings, key=lambda one: (one.epoch, one.is_member, one.commit_index))
 
 
 def state(one: Standing, view: Standing) -> str:
     words = []
     if one.epoch != view.epoch:
         words.append(f"still in view {one.epoch}")
-    if not one.fit:
+    if not one.disk_healthy:
         words.append("disk unfit")
     if one.leaves:
-        words.append("leaving" if one.seated else "left")
-    elif not one.seated:
+        words.append("leaving" if one.is_member else "left")
+    elif not one.is_member:
         words.append("waits for a seat")
-    elif not one.whole:
+    elif not one.has_snapshot:
         words.append("taking its seat")
     elif not one.serves:
         words.append("out of touch")
-    if one.sealed:
+    if one.epoch_closed:
         words.append("view being changed")
     return ", ".join(words) or "serves"
 
@@ -39,8 +39,8 @@
 def members(standings: Sequence[Standing], lost: Iterable[tuple[str, str]] = ()) -> list[dict[str, Any]]:
     """The view's members in the order of the chain, then the others.  `lost`: who did not answer, and why."""
     view = newest(standings)
-    agreed = max(one.agreed for one in standings)
-    seats = [seat.addr for seat in view.seats]
+    agreed = max(one.commit_index for one in standings)
+    seats = [seat.addr for seat in view.members]
     said = {one.addr: one for one in standings}
     why = dict(lost)
     out: list[dict[str, Any]] = []
@@ -55,7 +55,7 @@
             out.append({**lost_row, "heard_by": sum(it.heard for it in near)})
             continue
         row = {"member": addr, "zone": one.zone, "view": one.epoch, "chain": place}
-        row |= {"stored": one.stored, "agreed": one.agreed, "lag": max(0, agreed - one.stored)}
+        row |= {"stored": one.stored, "agreed": one.commit_index, "lag": max(0, agreed - one.stored)}
         row |= {"pilots": len(one.pilots), "keys": one.keys, "routes": one.routes, "services": one.plants}
         row |= {"duties": list(one.duties), "state": state(one, view)}
         out.append(row)
@@ -68,8 +68,8 @@
     out = []
     for one in standings:
         for it in one.pilots:
-            behind = None if it.place is None else max(0, public - it.place)
-            out.append({"pilot": it.addr, "follows": one.addr, "place": it.place, "behind": behind})
+            behind = None if it.index is None else max(0, public - it.index)
+            out.append({"pilot": it.addr, "follows": one.addr, "place": it.index, "behind": behind})
     return sorted(out, key=lambda row: str(row["pilot"]))
 
 
@@ -96,7 +96,7 @@
     most = -1
     for (kind, name), version in names:
         places = [
-            item.place
+            item.index
             for items in told
             for item in items.items
             if (item.kind, item.name) == (kind, name) and item.version >= version
@@ -109,7 +109,7 @@
 
 def behind(standings: Sequence[Standing], place: int) -> list[str]:
     """Pilots that follow and have not said that they have this place."""
-    return sorted(it.addr for one in standings for it in one.pilots if it.place is None or it.place < place)
+    return sorted(it.addr for one in standings for it in one.pilots if it.index is None or it.index < place)
 
 
 def spare(standings: Sequence[Standing]) -> int:
@@ -118,9 +118,9 @@
     Only those who answered and whose disk is fit count as there.  Below 0: so many are missing.
     """
     view = newest(standings)
-    fit = {one.addr for one in standings if one.fit}
-    there = sum(1 for seat in view.seats if seat.addr in fit)
-    return min(there - (len(view.seats) // 2 + 1), there - view.enough)
+    fit = {one.addr for one in standings if one.disk_healthy}
+    there = sum(1 for seat in view.members if seat.addr in fit)
+    return min(there - (len(view.members) // 2 + 1), there - view.min_replicas)
 
 
 def complete(standings: Sequence[Standing]) -> bool:
@@ -129,7 +129,7 @@
     said = {one.addr: one for one in standings}
     return all(
         seat.addr in said and said[seat.addr].serves and said[seat.addr].epoch == view.epoch
-        for seat in view.seats
+        for seat in view.members
     )
 
 
--- a/brackengate/cli_lab.py
+++ b/brackengate/cli_lab.py
@@ -587,7 +587,7 @@
     """
     import msgspec
 
-    from brackengate.lighthouse.member import Member
+    from brackengate.lighthouse.replica import Replica
     from brackengate.soundings.chart import draw
     from brackengate.soundings.mistakes import MISTAKES
     from brackengate.soundings.model import Bounds, Model
@@ -613,7 +613,7 @@
         told_of = {"depth": found.depth, "states": found.states, "seconds": round(found.seconds, 1)}
         log.info("a layer is done", extra=told_of)
 
-    kind = chosen.kind if chosen is not None else Member
+    kind = chosen.kind if chosen is not None else Replica
     found = search(Model(bounds, kind), Limits(depth, states, seconds), time.monotonic, heard)
     drawn = draw(Model(bounds, kind), found.history, found.breach) if found.breach else ""
     figures = {
--- a/brackengate/emulator/mesh/disk.py
+++ b/brackengate/emulator/mesh/disk.py
@@ -18,7 +18,7 @@
 from brackengate.emulator.loop import Loop
 from brackengate.emulator.mesh.ground import RoleProcess
 from brackengate.lighthouse.actions import Store
-from brackengate.lighthouse.member import FIRST, Kept
+from brackengate.lighthouse.replica import FIRST, StoredState
 from brackengate.lighthouse.view import NOBODY
 from brackengate.signals.words import Ballot, View
 
@@ -86,7 +86,7 @@
                 else:
                     self._rows[kind, name] = (place, encode(value))
 
-    def read(self, first: bool) -> Kept:
+    def read(self, first: bool) -> StoredState:
         """As of `lighthouse.store.open_disk`."""
         inc = FIRST if first else f"{self._rng.getrandbits(48):012x}"
         held = self._read("inc", str)
@@ -94,7 +94,7 @@
             self._meta["inc"] = msgspec.json.encode(inc)
             held = inc
         decode = msgspec.json.decode
-        return Kept(
+        return StoredState(
             held,
             self._read("place", int) or 0,
             self._read("lineage", int) or 0,
@@ -116,7 +116,7 @@
     def __init__(self, disk: EmulatedDisk, process: RoleProcess) -> None:
         self._disk, self._process = disk, process
 
-    async def open(self, first: bool) -> Kept:
+    async def open(self, first: bool) -> StoredState:
         while self._disk.stalled > self._disk.loop.now:
             await asyncio.sleep((self._disk.stalled - self._disk.loop.now) / 1e6)
         if self._disk.full > self._disk.loop.now and self._disk.writes == 0:
--- a/brackengate/emulator/mesh/world.py
+++ b/brackengate/emulator/mesh/world.py
@@ -218,15 +218,15 @@
     def seats(self) -> list[str]:
         """The core from the head to the tail, for faults that strike a seat."""
         views = [
-            machine.role.member.agreement.view
+            machine.role.replica.agreement.view
             for machine in self.core
             if machine.process.alive
             and isinstance(machine.role, Lighthouse)
-            and hasattr(machine.role, "member")
+            and hasattr(machine.role, "replica")
         ]
         names = {machine.ip: machine.name for machine in self.core}
         newest = max(views, key=lambda view: view.epoch, default=None)
-        return [names[seat.addr.partition(":")[0]] for seat in newest.seats] if newest else []
+        return [names[seat.addr.partition(":")[0]] for seat in newest.members] if newest else []
 
     def settings(self, machine: Machine, first: bool) -> str:
         """The file of one machine, as it stands now."""
--- a/brackengate/lighthouse/actions.py
+++ b/brackengate/lighthouse/actions.py
@@ -18,7 +18,8 @@
 
 @dataclass(slots=True)
 class Store:
-    """Bring it to the disk, then say `tells`, then call `stored(place, life)` where `place` is not negative.
+    """Bring it to the disk, then say `tells`, then call
+    `stored(index, generation)` where `index` is not negative.
 
     Stores are done in the order in which they were asked for.
     """
@@ -27,8 +28,8 @@
     rows: list[tuple[int, Row]] = field(default_factory=list)  # with the place of each
     forget: bool = False  # all rows that were there before go
     tells: list[Tell] = field(default_factory=list)
-    place: int = -1
-    life: int = 0
+    index: int = -1
+    generation: int = 0
 
 
 @dataclass(slots=True)
@@ -43,7 +44,7 @@
 class Publish:
     """These rows are agreed: followers may have them."""
 
-    place: int
+    index: int
     rows: tuple[Row, ...]
 
 
--- a/brackengate/lighthouse/chain.py
+++ b/brackengate/lighthouse/chain.py
@@ -3,7 +3,7 @@
 A member stores an entry before it passes it on, so each one's log is a prefix of the log of the one before
 it. What the tail has stored is on every disk of the view: it is agreed, and word of that goes back up the
 chain. Only what is agreed is published, so nothing published is ever taken back.  The log is kept as the
-latest value of each row with the place of its entry: what follows a place is the rows with a higher one.
+latest value of each row with the log index of its entry: what follows an index is the rows with a higher one.
 
 Asks may come to any member, which sends them to the head until it hears what became of them; asking again
 does no harm, as each ask says what is wanted and not a step towards it.  Times are microseconds of a steady
@@ -20,28 +20,28 @@
 import msgspec
 
 from brackengate.lighthouse.actions import Action, Answer, Publish, Restart, Store, Tell
-from brackengate.lighthouse.view import Log
+from brackengate.lighthouse.view import LogStatus
 from brackengate.signals.items import Invalid, Item, Name, effect, layout, read_call
 from brackengate.signals.words import (
     ITEMS,
     PUBLIC,
+    Ack,
     Amend,
-    Ask,
+    Append,
+    ChainSnapshot,
     Claim,
-    Do,
-    Done,
+    Command,
     Entry,
-    Forward,
-    Have,
     Line,
-    Noticed,
+    Position,
     Read,
     Report,
+    Result,
     Row,
-    Stored,
+    Submit,
+    Suspect,
     Unclaim,
     View,
-    Whole,
 )
 
 AGAIN = 400_000  # an ask without an answer is sent again
@@ -54,10 +54,10 @@
 
 
 @dataclass(slots=True)
-class Pending:
+class PendingCommand:
     """An ask that came to this member."""
 
-    what: Ask
+    what: Command
     at: int
     sent: int
     local: int  # the carrier's number
@@ -65,104 +65,121 @@
 
 
 @dataclass(slots=True)
-class Owed:
-    """What the head says once a place is agreed."""
+class PendingReply:
+    """What the head says once an index is agreed."""
 
-    place: int
+    index: int
     addr: str
     id: int
     result: Any
 
 
 class Chain:
-    def __init__(self, me: str, enough: int, window: int, place: int, lineage: int, now: int) -> None:
-        """`enough`: disks that hold a write before it is acknowledged.  `window`: for which keys are kept.
-        `place`, `lineage`: as stored; the lineage is the epoch of the seat that the rows were taken for."""
-        self.me, self.enough, self.window = me, enough, window
+    def __init__(
+        self, me: str, min_replicas: int, window: int, index: int, snapshot_epoch: int, now: int
+    ) -> None:
+        """`min_replicas`: disks that hold a write before its ack.  `window`: how long a key is kept.
+        `index`, `snapshot_epoch`: as stored; the epoch is that of the membership the rows were taken for."""
+        self.me, self.min_replicas, self.window = me, min_replicas, window
         self.view = View(0, ())
-        self.inc = ""
-        self.sealed = False
-        self.life = 0  # of the rows: a snapshot begins a new one
-        self.place = self.stored_place = place  # in memory, and on disk
-        self.agreed = -1  # on all disks of a view; -1: not known since the start
-        self.synced = 0
-        self.lineage = lineage
+        self.incarnation = ""
+        self.epoch_closed = False
+        self.generation = 0  # of the rows: a snapshot begins a new one
+        self.index = self.stored_index = index  # in memory, and on disk
+        self.commit_index = -1  # on all disks of a view; -1: not known since the start
+        self.caught_up_epoch = 0
+        self.snapshot_epoch = snapshot_epoch
         self.rows: dict[Name, tuple[int, Any]] = {}
         self.items: dict[Name, Item] = {}  # the operator's, as in `rows`
         self.born: dict[str, int] = {}  # keys, since when they are held here
-        self._loaded = place
-        self._next_from: int | None = None  # the place up to which the next one was sent; None: it has to say
-        self._unagreed: deque[Entry] = deque()
+        self._loaded = index
+        self._next_from: int | None = None  # the index up to which the next one was sent; None: it has to say
+        self._uncommitted: deque[Entry] = deque()
         self._recent: deque[tuple[int, tuple[Row, ...]]] = deque()
-        self._recent_from = place  # places after this one are in `_recent`
+        self._recent_from = index  # entries after this index are in `_recent`
         self._published: dict[Name, tuple[int, Any]] = {}
         self._said_have = self._pruned = 0
-        self._asks: dict[int, Pending] = {}
+        self._pending: dict[int, PendingCommand] = {}
         self._sent: dict[int, int] = {}  # the ask of each number
         self._last_id = (
             now  # no number of an earlier life comes again: words for those may still be under way
         )
-        self._owed: deque[Owed] = deque()
+        self._pending_replies: deque[PendingReply] = deque()
 
     def load(self, rows: list[tuple[str, str, int, Any]], now: int) -> None:
         """What is on disk at the start; some of it may not have been agreed."""
-        for kind, name, place, value in rows:
-            self._set(place, (kind, name, value), now)
+        for kind, name, index, value in rows:
+            self._set(index, (kind, name, value), now)
             if kind in PUBLIC:
-                self._published[kind, name] = (place, value)
+                self._published[kind, name] = (index, value)
 
     # --- where it stands
 
-    def log(self) -> Log:
-        return Log(self.stored_place, self.whole, self.synced)
+    def log(self) -> LogStatus:
+        return LogStatus(self.stored_index, self.has_snapshot, self.caught_up_epoch)
 
     @property
-    def whole(self) -> bool:
-        seat = self.view.seat(self.me)
-        return seat is not None and seat.inc == self.inc and seat.since == self.lineage
+    def has_snapshot(self) -> bool:
+        member = self.view.member(self.me)
+        return (
+            member is not None
+            and member.incarnation == self.incarnation
+            and member.since == self.snapshot_epoch
+        )
 
-    def _index(self) -> int:
-        return next((n for n, s in enumerate(self.view.seats) if s.addr == self.me and s.inc == self.inc), -1)
+    def _chain_position(self) -> int:
+        return next(
+            (
+                n
+                for n, s in enumerate(self.view.members)
+                if s.addr == self.me and s.incarnation == self.incarnation
+            ),
+            -1,
+        )
 
     @property
     def head(self) -> str:
-        return self.view.seats[0].addr if self.view.seats else ""
+        return self.view.members[0].addr if self.view.members else ""
 
     def _before(self) -> str:
-        at = self._index()
-        return self.view.seats[at - 1].addr if at > 0 else ""
+        at = self._chain_position()
+        return self.view.members[at - 1].addr if at > 0 else ""
 
     def _after(self) -> str:
-        at = self._index()
-        return self.view.seats[at + 1].addr if 0 <= at < len(self.view.seats) - 1 else ""
+        at = self._chain_position()
+        return self.view.members[at + 1].addr if 0 <= at < len(self.view.members) - 1 else ""
 
     @property
     def ready(self) -> bool:
         """Whether followers can be served: all that is held here has been agreed at some time."""
-        return self.agreed >= self._loaded and self.agreed >= 0
+        return self.commit_index >= self._loaded and self.commit_index >= 0
 
     # --- the view
 
-    def viewed(self, view: View, inc: str, now: int) -> list[Action]:
+    def viewed(self, view: View, incarnation: str, now: int) -> list[Action]:
         """A view was agreed."""
-        self.view, self.inc, self.sealed = view, inc, False
-        self.synced = 0
+        self.view, self.incarnation, self.epoch_closed = view, incarnation, False
+        self.caught_up_epoch = 0
         self._next_from = None
-        self._owed.clear()  # whoever asked asks again
+        self._pending_replies.clear()  # whoever asked asks again
         out: list[Action] = []
-        if self._index() == 0 and self.whole:
-            self.synced = view.epoch
+        if self._chain_position() == 0 and self.has_snapshot:
+            self.caught_up_epoch = view.epoch
         out += self._say_have(now)
         out += self._tail()
-        for ask in list(self._asks):
+        for ask in list(self._pending):
             out += self._send(ask, now)
         return out
 
     def tick(self, now: int) -> list[Action]:
         out: list[Action] = []
-        if self._index() > 0 and self.synced != self.view.epoch and now - self._said_have >= HAVE:
+        if (
+            self._chain_position() > 0
+            and self.caught_up_epoch != self.view.epoch
+            and now - self._said_have >= HAVE
+        ):
             out += self._say_have(now)
-        for ask, pending in list(self._asks.items()):
+        for ask, pending in list(self._pending.items()):
             if now - pending.at > GIVE_UP:
                 out.append(self._settle(ask, None))
             elif now - pending.sent > AGAIN:
@@ -186,49 +203,53 @@
         self._said_have = now
         if not before:
             return []
-        out: list[Action] = [Tell(before, Have(self.view.epoch, self.stored_place if self.whole else -1))]
-        if self.agreed >= 0 and self.whole:  # whoever has just started knows of nothing that is agreed
-            out.append(Tell(before, Stored(self.view.epoch, self.agreed)))
+        out: list[Action] = [
+            Tell(before, Position(self.view.epoch, self.stored_index if self.has_snapshot else -1))
+        ]
+        if (
+            self.commit_index >= 0 and self.has_snapshot
+        ):  # whoever has just started knows of nothing that is agreed
+            out.append(Tell(before, Ack(self.view.epoch, self.commit_index)))
         return out
 
     # --- asks, where they come in
 
-    def ask(self, what: Ask, local: int, now: int) -> list[Action]:
+    def ask(self, what: Command, local: int, now: int) -> list[Action]:
         """Answered once, by `Answer(local, result)`."""
         self._last_id += 1
-        self._asks[self._last_id] = Pending(what, now, now, local)
+        self._pending[self._last_id] = PendingCommand(what, now, now, local)
         return self._send(self._last_id, now)
 
     def _send(self, ask: int, now: int) -> list[Action]:
-        pending = self._asks[ask]
+        pending = self._pending[ask]
         pending.sent = now
         self._last_id += 1
         pending.numbers.append(self._last_id)
         self._sent[self._last_id] = ask
-        word = Do(self._last_id, pending.what)
+        word = Submit(self._last_id, pending.what)
         if self.head == self.me:
             return self._do(self.me, word, now)
         return [Tell(self.head, word)] if self.head else []
 
-    def _done(self, word: Done) -> list[Action]:
+    def _done(self, word: Result) -> list[Action]:
         ask = self._sent.get(word.id)
         if ask is None:
             return []
-        if word.id != self._asks[ask].numbers[-1] and ("gate" in word.result or "invalid" in word.result):
+        if word.id != self._pending[ask].numbers[-1] and ("gate" in word.result or "invalid" in word.result):
             return []  # turned down, but it was sent again: that may come to another end
         return [self._settle(ask, word.result)]
 
     def _settle(self, ask: int, result: Any) -> Answer:
-        pending = self._asks.pop(ask)
+        pending = self._pending.pop(ask)
         for number in pending.numbers:
             del self._sent[number]
         return Answer(pending.local, result)
 
     # --- asks, at the head
 
-    def _do(self, addr: str, word: Do, now: int) -> list[Action]:
-        fit = self._index() == 0 and self.whole and not self.sealed
-        if not fit or len(self.view.seats) < self.enough:
+    def _do(self, addr: str, word: Submit, now: int) -> list[Action]:
+        fit = self._chain_position() == 0 and self.has_snapshot and not self.epoch_closed
+        if not fit or len(self.view.members) < self.min_replicas:
             return []
         rows: list[Row] = []
         result: Any = {"ok": True}
@@ -255,24 +276,29 @@
                 held = self.rows.get(("inst", name))
                 if held is None or held[1] != value:
                     rows = [("inst", name, value)]
-            case Noticed(watcher, silent):
+            case Suspect(watcher, silent):
                 held = self.rows.get(("silent", watcher))
                 if (list(held[1] or ()) if held is not None else []) != list(silent):
                     rows = [("silent", watcher, list(silent) or None)]
         out = self._append(rows, now)
-        self._owed.append(Owed(self.place, addr, word.id, result))
+        self._pending_replies.append(PendingReply(self.index, addr, word.id, result))
         return out
 
     def _append(self, rows: list[Row], now: int) -> list[Action]:
-        return self._take((Entry(self.place + 1, tuple(rows)),), now)
+        return self._take((Entry(self.index + 1, tuple(rows)),), now)
 
     def _tell_done(self, addr: str, ask: int, result: Any) -> list[Action]:
-        done = Done(ask, result)
+        done = Result(ask, result)
         return self._done(done) if addr == self.me else [Tell(addr, done)]
 
     def _prune(self, now: int) -> list[Action]:
         """A duty of the head: keys that nobody may repeat any more.  By age: the time of day jumps."""
-        if self._index() != 0 or not self.whole or self.sealed or self.agreed < self.place:
+        if (
+            self._chain_position() != 0
+            or not self.has_snapshot
+            or self.epoch_closed
+            or self.commit_index < self.index
+        ):
             return []
         old: list[Row] = []
         for key, born in self.born.items():
@@ -285,94 +311,104 @@
 
     def heard(self, addr: str, word: Line, now: int) -> list[Action]:
         match word:
-            case Do():
+            case Submit():
                 return self._do(addr, word, now)
-            case Done():
+            case Result():
                 return self._done(word)
-            case Have():
+            case Position():
                 return self._on_have(addr, word)
-            case Forward():
+            case Append():
                 return self._on_forward(addr, word, now)
-            case Whole():
+            case ChainSnapshot():
                 return self._on_whole(addr, word, now)
-            case Stored():
+            case Ack():
                 if word.epoch == self.view.epoch and addr == self._after():
-                    return self._agree(min(word.place, self.stored_place))
+                    return self._commit(min(word.index, self.stored_index))
         return []
 
-    def _on_have(self, addr: str, word: Have) -> list[Action]:
-        if word.epoch != self.view.epoch or addr != self._after() or not self.whole or self.sealed:
+    def _on_have(self, addr: str, word: Position) -> list[Action]:
+        if (
+            word.epoch != self.view.epoch
+            or addr != self._after()
+            or not self.has_snapshot
+            or self.epoch_closed
+        ):
             return []
-        if word.place > self.place:
+        if word.index > self.index:
             return []  # it can't have more: a line from another life
-        if word.place < 0:
-            rows = tuple((kind, name, place, value) for (kind, name), (place, value) in self.rows.items())
-            if self.stored_place < self.place:
+        if word.index < 0:
+            rows = tuple((kind, name, index, value) for (kind, name), (index, value) in self.rows.items())
+            if self.stored_index < self.index:
                 return []  # what is not stored here must not be passed on; it asks again
-            self._next_from = self.place
-            return [Tell(addr, Whole(word.epoch, self.place, rows))]
-        self._next_from = word.place
+            self._next_from = self.index
+            return [Tell(addr, ChainSnapshot(word.epoch, self.index, rows))]
+        self._next_from = word.index
         return self._feed_next(even_none=True)
 
     def _feed_next(self, even_none: bool = False) -> list[Action]:
         """Pass on what is stored here and was not sent yet."""
         after = self._after()
-        if not after or self._next_from is None or self.sealed:
+        if not after or self._next_from is None or self.epoch_closed:
             return []
-        start, until = self._next_from, self.stored_place
+        start, until = self._next_from, self.stored_index
         if start >= until and not even_none:
             return []
-        entries = [entry for entry in self._unagreed if start < entry.place <= until]
-        if start < until and (not entries or entries[0].place > start + 1):
-            rows = [(k, n, v) for (k, n), (place, v) in self.rows.items() if start < place]
-            if until < self.place:
+        entries = [entry for entry in self._uncommitted if start < entry.index <= until]
+        if start < until and (not entries or entries[0].index > start + 1):
+            rows = [(k, n, v) for (k, n), (index, v) in self.rows.items() if start < index]
+            if until < self.index:
                 return []  # rows of the last entries are not stored yet: wait for those
             entries = [Entry(until, tuple(rows))]
         self._next_from = max(start, until)
-        return [Tell(after, Forward(self.view.epoch, start, tuple(entries)))]
+        return [Tell(after, Append(self.view.epoch, start, tuple(entries)))]
 
-    def _on_forward(self, addr: str, word: Forward, now: int) -> list[Action]:
-        if word.epoch != self.view.epoch or addr != self._before() or not self.whole or self.sealed:
+    def _on_forward(self, addr: str, word: Append, now: int) -> list[Action]:
+        if (
+            word.epoch != self.view.epoch
+            or addr != self._before()
+            or not self.has_snapshot
+            or self.epoch_closed
+        ):
             return []
-        if word.after > self.place:
+        if word.after > self.index:
             return self._say_have(now)
-        self.synced = self.view.epoch
-        out = self._take(tuple(entry for entry in word.entries if entry.place > self.place), now)
+        self.caught_up_epoch = self.view.epoch
+        out = self._take(tuple(entry for entry in word.entries if entry.index > self.index), now)
         return out or self._tail()
 
-    def _on_whole(self, addr: str, word: Whole, now: int) -> list[Action]:
-        seat = self.view.seat(self.me)
+    def _on_whole(self, addr: str, word: ChainSnapshot, now: int) -> list[Action]:
+        member = self.view.member(self.me)
         if (
             word.epoch != self.view.epoch
             or addr != self._before()
-            or self.sealed
-            or seat is None
-            or self.whole
+            or self.epoch_closed
+            or member is None
+            or self.has_snapshot
         ):
             return []
-        for held in (self.rows, self.items, self.born, self._unagreed, self._recent, self._published):
+        for held in (self.rows, self.items, self.born, self._uncommitted, self._recent, self._published):
             held.clear()
-        self.life += 1
-        self.place, self.lineage, self.synced = word.place, seat.since, self.view.epoch
-        self.stored_place, self.agreed, self._loaded = -1, -1, word.place
+        self.generation += 1
+        self.index, self.snapshot_epoch, self.caught_up_epoch = word.index, member.since, self.view.epoch
+        self.stored_index, self.commit_index, self._loaded = -1, -1, word.index
         self.load(list(word.rows), now)
-        rows = [(place, (kind, name, value)) for kind, name, place, value in word.rows]
-        meta = {"place": word.place, "lineage": self.lineage}
-        return [Restart(), Store(meta, rows, forget=True, place=word.place, life=self.life)]
+        rows = [(index, (kind, name, value)) for kind, name, index, value in word.rows]
+        meta = {"place": word.index, "lineage": self.snapshot_epoch}
+        return [Restart(), Store(meta, rows, forget=True, index=word.index, generation=self.generation)]
 
     def _take(self, entries: tuple[Entry, ...], now: int) -> list[Action]:
         if not entries:
             return []
         rows: list[tuple[int, Row]] = []
         for entry in entries:
-            self.place = entry.place
-            self._unagreed.append(entry)
+            self.index = entry.index
+            self._uncommitted.append(entry)
             for row in entry.rows:
-                self._set(entry.place, row, now)
-                rows.append((entry.place, row))
-        return [Store({"place": self.place}, rows, place=self.place, life=self.life)]
+                self._set(entry.index, row, now)
+                rows.append((entry.index, row))
+        return [Store({"place": self.index}, rows, index=self.index, generation=self.generation)]
 
-    def _set(self, place: int, row: Row, now: int) -> None:
+    def _set(self, index: int, row: Row, now: int) -> None:
         kind, name, value = row
         if kind == KEY:
             if value is None:
@@ -380,54 +416,59 @@
                 self.born.pop(name, None)
                 return
             self.born.setdefault(name, now)
-        self.rows[kind, name] = (place, value)
+        self.rows[kind, name] = (index, value)
         if kind in ITEMS:
             self.items[kind, name] = msgspec.convert(value, Item)
 
-    def stored(self, place: int, life: int) -> list[Action]:
+    def stored(self, index: int, generation: int) -> list[Action]:
         """The disk holds everything up to there, of that life of the rows."""
-        if life != self.life or place <= self.stored_place:
+        if generation != self.generation or index <= self.stored_index:
             return []
-        self.stored_place = place
+        self.stored_index = index
         out = self._feed_next()
         return out + self._tail()
 
     def _tail(self) -> list[Action]:
         """The tail's word that what it has stored is agreed."""
-        at = self._index()
-        if at < 0 or at != len(self.view.seats) - 1 or not self.whole or self.synced != self.view.epoch:
+        at = self._chain_position()
+        if (
+            at < 0
+            or at != len(self.view.members) - 1
+            or not self.has_snapshot
+            or self.caught_up_epoch != self.view.epoch
+        ):
             return []
-        return self._agree(self.stored_place)
+        return self._commit(self.stored_index)
 
-    def _agree(self, place: int) -> list[Action]:
+    def _commit(self, index: int) -> list[Action]:
         out: list[Action] = []
-        if len(self.view.seats) < self.enough:
+        if len(self.view.members) < self.min_replicas:
             return out
         before = self._before()
         if before:
-            out.append(Tell(before, Stored(self.view.epoch, place)))
-        if place <= self.agreed:
+            out.append(Tell(before, Ack(self.view.epoch, index)))
+        if index <= self.commit_index:
             return out
         was_ready = self.ready
-        self.agreed = place
+        self.commit_index = index
         rows: list[Row] = []
-        while self._unagreed and self._unagreed[0].place <= place:
-            entry = self._unagreed.popleft()
+        while self._uncommitted and self._uncommitted[0].index <= index:
+            entry = self._uncommitted.popleft()
             for row in entry.rows:
                 if row[0] in PUBLIC:
-                    self._published[row[0], row[1]] = (entry.place, row[2])
+                    self._published[row[0], row[1]] = (entry.index, row[2])
                     rows.append(row)
         if self.ready and not was_ready:
-            self._recent_from = place
+            self._recent_from = index
             self._recent.clear()
             out.append(Restart())
         elif self.ready and rows:
-            self._recent.append((place, tuple(rows)))
+            self._recent.append((index, tuple(rows)))
             if len(self._recent) > RECENT:
                 self._recent_from = self._recent.popleft()[0]
-            out.append(Publish(place, tuple(rows)))
-        while self._owed and self._owed[0].place <= place:
-            owed = self._owed.popleft()
+            out.append(Publish(index, tuple(rows)))
+        while self._pending_replies and self._pending_replies[0].index <= index:
+            owed = self._pending_replies.popleft()
             result = owed.result if owed.result is not None else self.configuration()
             out += self._tell_done(owed.addr, owed.id, result)
         return out
@@ -445,11 +486,11 @@
         )
         return layout(held)
 
-    def since(self, place: int) -> tuple[bool, int, tuple[Row, ...]]:
-        """Whether it is a snapshot, the place that it leads to, and the rows."""
-        if place > self.agreed:
-            return False, place, ()  # it has seen more than this member: nothing until there is news for it
-        if place >= self._recent_from:
-            news = tuple(row for at, rows in self._recent if at > place for row in rows)
-            return False, self.agreed, news
-        return True, self.agreed, tuple((k, n, v) for (k, n), (_, v) in self._published.items())
+    def since(self, index: int) -> tuple[bool, int, tuple[Row, ...]]:
+        """Whether it is a snapshot, the index that it leads to, and the rows."""
+        if index > self.commit_index:
+            return False, index, ()  # it has seen more than this member: nothing until there is news for it
+        if index >= self._recent_from:
+            news = tuple(row for at, rows in self._recent if at > index for row in rows)
+            return False, self.commit_index, news
+        return True, self.commit_index, tuple((k, n, v) for (k, n), (_, v) in self._published.items())
--- a/brackengate/lighthouse/control.py
+++ b/brackengate/lighthouse/control.py
@@ -11,7 +11,7 @@
 from brackengate.http.message import Arrival, Bad
 from brackengate.net.http import CallerConnection
 from brackengate.signals.door import MOST_BODY, collect, rpc
-from brackengate.signals.words import Amend, Ask, Read
+from brackengate.signals.words import Amend, Command, Read
 
 log = logging.getLogger("brackengate.control")
 
@@ -19,14 +19,14 @@
 
 
 class Asks(Protocol):
-    def ask(self, what: Ask, done: Callable[[Any], None]) -> None: ...
+    def ask(self, what: Command, done: Callable[[Any], None]) -> None: ...
 
 
 class Control:
     most_body = MOST_BODY
 
     def __init__(self, asks: Asks) -> None:
-        self._asks = asks
+        self._pending = asks
 
     def begin(self, arrival: Arrival, connection: CallerConnection) -> None:
         call, _ = rpc(arrival.target)
@@ -35,7 +35,7 @@
             collect(arrival, lambda body: self._amend(body, connection))
         elif call == "config.read":
             connection.hold(lambda: None)
-            self._asks.ask(Read(), lambda result: self._answer(connection, "config.read", result))
+            self._pending.ask(Read(), lambda result: self._answer(connection, "config.read", result))
         else:
             raise Bad(404, "no such call")
 
@@ -45,7 +45,7 @@
         except UnicodeDecodeError:
             connection.respond(400, b'{"Error":"not UTF-8"}', JSON)
             return
-        self._asks.ask(Amend(text), lambda result: self._answer(connection, "config.amend", result))
+        self._pending.ask(Amend(text), lambda result: self._answer(connection, "config.amend", result))
 
     def _answer(self, connection: CallerConnection, call: str, result: Any) -> None:
         if result is None:
--- a/brackengate/lighthouse/member.py
+++ b/brackengate/lighthouse/replica.py
@@ -9,18 +9,30 @@
 from brackengate.lighthouse.actions import Action, Store
 from brackengate.lighthouse.chain import Chain
 from brackengate.lighthouse.view import NOBODY, Agreement
-from brackengate.signals.words import Ask, Ballot, Do, Done, Forward, Have, Line, Seat, Stored, View, Whole
+from brackengate.signals.words import (
+    Ack,
+    Append,
+    Ballot,
+    ChainSnapshot,
+    Command,
+    Line,
+    Member,
+    Position,
+    Result,
+    Submit,
+    View,
+)
 
 FIRST = "first"  # the life of a disk at the system's very first start
 
 
 @dataclass(slots=True)
-class Kept:
+class StoredState:
     """What was on disk at the start."""
 
-    inc: str
-    place: int = 0
-    lineage: int = 0
+    incarnation: str
+    index: int = 0
+    snapshot_epoch: int = 0
     view: View | None = None
     promised: Ballot = NOBODY
     taken_at: Ballot | None = None
@@ -28,7 +40,7 @@
     rows: Iterable[tuple[str, str, int, Any]] = ()
 
 
-class Member:
+class Replica:
     agreement_kind: type[Agreement] = Agreement  # others where mistakes are tried: see `soundings`
     chain_kind: type[Chain] = Chain
 
@@ -36,33 +48,33 @@
         self,
         me: str,
         zone: str,
-        kept: Kept,
+        kept: StoredState,
         seeds: Iterable[str],
         first: bool,
-        enough: int,
+        min_replicas: int,
         window: int,
         now: int,
     ) -> None:
         """`first`: the system's very first start, with an empty disk: the seeds are the first view."""
         seeds = sorted(set(seeds))
-        view, lineage = kept.view, kept.lineage
+        view, snapshot_epoch = kept.view, kept.snapshot_epoch
         if view is None and first:
-            view = View(1, tuple(Seat(seed, FIRST, 1) for seed in seeds))
-            lineage = 1 if me in seeds else 0
+            view = View(1, tuple(Member(seed, FIRST, 1) for seed in seeds))
+            snapshot_epoch = 1 if me in seeds else 0
         self.me, self._first = me, kept.view is None and view is not None
         self.agreement = self.agreement_kind(
-            me, kept.inc, zone, now, view, kept.promised, kept.taken_at, kept.taken, enough
+            me, kept.incarnation, zone, now, view, kept.promised, kept.taken_at, kept.taken, min_replicas
         )
-        self.chain = self.chain_kind(me, enough, window, kept.place, lineage, now)
-        self.chain.inc = kept.inc
+        self.chain = self.chain_kind(me, min_replicas, window, kept.index, snapshot_epoch, now)
+        self.chain.incarnation = kept.incarnation
         self.chain.load(list(kept.rows), now)
-        for addr in (*seeds, *(seat.addr for seat in self.agreement.view.seats)):
+        for addr in (*seeds, *(member.addr for member in self.agreement.view.members)):
             self.agreement.meet(addr, now)
 
     def start(self, now: int) -> list[Action]:
         out: list[Action] = []
         if self._first:
-            out.append(Store({"view": self.agreement.view, "lineage": self.chain.lineage}))
+            out.append(Store({"view": self.agreement.view, "lineage": self.chain.snapshot_epoch}))
         return self._settle(out, now, anyway=True)
 
     def tick(self, now: int) -> list[Action]:
@@ -70,7 +82,7 @@
         return out + self.chain.tick(now)
 
     def heard(self, addr: str, word: Line, now: int) -> list[Action]:
-        if isinstance(word, Do | Done | Have | Forward | Whole | Stored):
+        if isinstance(word, Submit | Result | Position | Append | ChainSnapshot | Ack):
             return self.chain.heard(addr, word, now)
         return self._settle(self.agreement.heard(addr, word, now, self.chain.log()), now)
 
@@ -83,15 +95,15 @@
     def refused(self, addr: str, now: int) -> list[Action]:
         return self._settle(self.agreement.refused(addr, now, self.chain.log()), now)
 
-    def stored(self, place: int, life: int) -> list[Action]:
-        return self.chain.stored(place, life)
+    def stored(self, index: int, generation: int) -> list[Action]:
+        return self.chain.stored(index, generation)
 
-    def ask(self, what: Ask, local: int, now: int) -> list[Action]:
+    def ask(self, what: Command, local: int, now: int) -> list[Action]:
         return self.chain.ask(what, local, now)
 
-    def fit(self, fit: bool) -> None:
+    def set_disk_healthy(self, disk_healthy: bool) -> None:
         """Whether the disk takes what it is given, in time."""
-        self.agreement.fit = fit
+        self.agreement.disk_healthy = disk_healthy
 
     def leave(self, replaced: bool, now: int) -> str:
         """Told to give up its seat; why it does not, empty where it does."""
@@ -102,12 +114,12 @@
 
     def serves(self, now: int) -> bool:
         """Whether followers may rely on it."""
-        return self.chain.ready and self.agreement.in_touch(now)
+        return self.chain.ready and self.agreement.holds_lease(now)
 
     def _settle(self, out: list[Action], now: int, anyway: bool = False) -> list[Action]:
         """What the views have decided holds for the log."""
         view = self.agreement.view
         if view.epoch != self.chain.view.epoch or anyway:
-            out = out + self.chain.viewed(view, self.agreement.inc, now)
-        self.chain.sealed = self.agreement.sealed
+            out = out + self.chain.viewed(view, self.agreement.incarnation, now)
+        self.chain.epoch_closed = self.agreement.epoch_closed
         return out
--- a/brackengate/lighthouse/role.py
+++ b/brackengate/lighthouse/role.py
@@ -14,7 +14,7 @@
 
 from brackengate.lighthouse.actions import Action, Answer, Publish, Restart, Store, Tell
 from brackengate.lighthouse.control import Control
-from brackengate.lighthouse.member import FIRST, Kept, Member
+from brackengate.lighthouse.replica import FIRST, Replica, StoredState
 from brackengate.lighthouse.store import Damaged, Drive, Waits, damaged
 from brackengate.lighthouse.watchroom import Watchroom
 from brackengate.net.ground import Ground
@@ -24,17 +24,17 @@
 from brackengate.signals.lines import Dialer, Lines, encoded
 from brackengate.signals.settings import Settings, plain
 from brackengate.signals.words import (
-    Ask,
-    Asked,
     Away,
     Beat,
     Changes,
+    Command,
     Core,
-    Done,
     Follow,
+    FollowerCommand,
     Hello,
     Inquire,
     Line,
+    Result,
     Seen,
     Snapshot,
 )
@@ -50,7 +50,7 @@
 @dataclass(slots=True, eq=False)
 class Follower:
     lines: Lines
-    place: int = -1
+    index: int = -1
     follows: bool = False
     said: int = 0
     tells: bool = False
@@ -68,14 +68,14 @@
         self._port = settings.lighthouse_port
         self._left: asyncio.Future[int] = self._loop.create_future()
         self._drive: Waits = drive or Drive(settings.data_dir or ".")
-        self.member: Member
+        self.replica: Replica
         self._watchroom: Watchroom
         self._links: dict[str, Dialer] = {}
         self._queue: list[Store] = []
         self._writing_since = 0
         self._failed = False
         self._followers: dict[Lines, Follower] = {}
-        self._asks: dict[int, Callable[[Any], None]] = {}
+        self._pending: dict[int, Callable[[Any], None]] = {}
         self._last_ask = 0
         self._core: Core | None = None
         self._logged = 0  # the view that the log names last
@@ -89,11 +89,11 @@
         if kept is None:
             return 0
         settings, now = self.settings, self.now()
-        first = settings.initial_start and kept.inc == FIRST
+        first = settings.initial_start and kept.incarnation == FIRST
         seeds = [f"{host}:{port}" for host, port in settings.seeds]
         window = settings.bounds.dedupe_window
-        self.member = Member(self.me, settings.zone, kept, seeds, first, settings.enough, window, now)
-        self._watchroom = Watchroom(self.member, self._followers, self.ask, self.now)
+        self.replica = Replica(self.me, settings.zone, kept, seeds, first, settings.min_replicas, window, now)
+        self._watchroom = Watchroom(self.replica, self._followers, self.ask, self.now)
         self._inner = await self._loop.create_server(
             lambda: Lines(self._on_line, self._on_open, self._on_lost), settings.ip, self._port
         )
@@ -101,15 +101,15 @@
             self._loop, self.clock, [self._bind(plain(settings.listen.control, "Control"))], Control(self)
         )
         server.start()
-        view, chain = self.member.agreement.view, self.member.chain
+        view, chain = self.replica.agreement.view, self.replica.chain
         log.info(
-            "lighthouse: %s is up, view %d, place %d, %d rows",
+            "lighthouse: %s is up, view %d, index %d, %d rows",
             self.me,
             view.epoch,
-            chain.place,
+            chain.index,
             len(chain.rows),
         )
-        self._carry_out(self.member.start(now))
+        self._carry_out(self.replica.start(now))
         self._tick()
         try:
             return await self._left
@@ -120,7 +120,7 @@
         if not self._left.done():
             self._left.set_result(code)
 
-    async def _open_disk(self) -> Kept | None:
+    async def _open_disk(self) -> StoredState | None:
         """None: it was told to stop while the disk was in trouble."""
         first = self.settings.initial_start
         while True:
@@ -139,13 +139,13 @@
         self._ticker = self._loop.call_later(TICK_S, self._tick)
         now = self.now()
         slow = self._writing_since and now - self._writing_since > SLOW
-        self.member.fit(not self._failed and not slow)
-        self._carry_out(self.member.tick(now))
+        self.replica.set_disk_healthy(not self._failed and not slow)
+        self._carry_out(self.replica.tick(now))
         self._keep_followers(now)
-        view = self.member.agreement.view
+        view = self.replica.agreement.view
         if view.epoch != self._logged:
             self._logged = view.epoch
-            chain = ", ".join(seat.addr for seat in view.seats)
+            chain = ", ".join(member.addr for member in view.members)
             log.info("lighthouse: view %d, from head to tail: %s", view.epoch, chain)
 
     # --- carrying out
@@ -157,7 +157,7 @@
             elif isinstance(action, Store):
                 self._queue.append(action)
             elif isinstance(action, Answer):
-                done = self._asks.pop(action.id, None)
+                done = self._pending.pop(action.id, None)
                 if done is not None:
                     done(action.result)
             elif isinstance(action, Publish):
@@ -179,7 +179,7 @@
         link.send(tell.word)
 
     def _heard(self, addr: str, word: Line) -> None:
-        self._carry_out(self.member.heard(addr, word, self.now()))
+        self._carry_out(self.replica.heard(addr, word, self.now()))
 
     def _write(self) -> None:
         batch, self._queue = self._queue, []
@@ -195,7 +195,7 @@
             return
         if error is not None:
             if not self._failed:
-                log.error("store: step write: %s; the seat is given up until it succeeds", error)
+                log.error("store: step write: %s; the member is given up until it succeeds", error)
             self._failed = True
             self._queue = batch + self._queue
             self._loop.call_later(RETRY_S, self._write)
@@ -206,8 +206,8 @@
         actions: list[Action] = []
         for store in batch:
             actions += store.tells
-            if store.place >= 0:
-                actions += self.member.stored(store.place, store.life)
+            if store.index >= 0:
+                actions += self.replica.stored(store.index, store.generation)
         self._carry_out(actions)
 
     # --- links to the other lighthouses
@@ -218,10 +218,10 @@
 
         def opened(dialer: Dialer) -> None:
             dialer.send(Hello(self.me))
-            self._carry_out(self.member.reconnected(addr, self.now()))
+            self._carry_out(self.replica.reconnected(addr, self.now()))
 
         def refused() -> None:
-            self._carry_out(self.member.refused(addr, self.now()))
+            self._carry_out(self.replica.refused(addr, self.now()))
 
         return Dialer(address, lambda word: self._heard(addr, word), opened, on_refused=refused)
 
@@ -236,8 +236,8 @@
             if word.pilot:
                 self._followers[lines] = Follower(lines)
             else:
-                self.member.met(word.addr, self.now())
-                self._carry_out(self.member.reconnected(word.addr, self.now()))
+                self.replica.met(word.addr, self.now())
+                self._carry_out(self.replica.reconnected(word.addr, self.now()))
         elif lines in self._followers:
             self._from_pilot(self._followers[lines], word)
         elif isinstance(word, Inquire):
@@ -250,54 +250,54 @@
 
     def _from_pilot(self, follower: Follower, word: Line) -> None:
         if isinstance(word, Follow):
-            follower.place, follower.follows, follower.tells = word.place, True, word.tells
-            if self.member.serves(self.now()):
+            follower.index, follower.follows, follower.tells = word.index, True, word.tells
+            if self.replica.serves(self.now()):
                 self._say(follower, self._core_line())
                 self._catch_up(follower, even_none=True)
             else:
                 self._say(follower, Away())
-        elif isinstance(word, Asked):
+        elif isinstance(word, FollowerCommand):
 
             def done(result: Any) -> None:
                 log.debug("ask: %s: %s", word.what, result)
-                follower.lines.send(Done(word.id, result))
+                follower.lines.send(Result(word.id, result))
 
             self.ask(word.what, done)
         elif isinstance(word, Seen):
             self._watchroom.seen(follower.lines, word)
 
-    def ask(self, what: Ask, done: Callable[[Any], None]) -> None:
+    def ask(self, what: Command, done: Callable[[Any], None]) -> None:
         """`done` gets the result once; None: it is not known what becomes of it."""
         self._last_ask += 1
-        self._asks[self._last_ask] = done
-        self._carry_out(self.member.ask(what, self._last_ask, self.now()))
+        self._pending[self._last_ask] = done
+        self._carry_out(self.replica.ask(what, self._last_ask, self.now()))
 
     # --- followers
 
     def _core_line(self) -> Core:
-        return Core(tuple(self.member.agreement.zones().items()))
+        return Core(tuple(self.replica.agreement.zones().items()))
 
     def _say(self, follower: Follower, word: Line) -> None:
         follower.said = self.now()
         follower.lines.send(word)
 
     def _catch_up(self, follower: Follower, even_none: bool = False) -> None:
-        whole, place, rows = self.member.chain.since(follower.place)
+        whole, index, rows = self.replica.chain.since(follower.index)
         if whole:
-            self._say(follower, Snapshot(place, rows))
+            self._say(follower, Snapshot(index, rows))
         elif rows or even_none:
-            self._say(follower, Changes(place, rows))
-        follower.place = max(follower.place, place)
+            self._say(follower, Changes(index, rows))
+        follower.index = max(follower.index, index)
 
     def _publish(self, news: Publish) -> None:
-        data, now = encoded(Changes(news.place, news.rows)), self.now()
+        data, now = encoded(Changes(news.index, news.rows)), self.now()
         for follower in self._followers.values():
-            if follower.follows and follower.place < news.place:
-                follower.place, follower.said = news.place, now
+            if follower.follows and follower.index < news.index:
+                follower.index, follower.said = news.index, now
                 follower.lines.send_raw(data)
 
     def _keep_followers(self, now: int) -> None:
-        serves = self.member.serves(now)
+        serves = self.replica.serves(now)
         core = self._core_line()
         for follower in list(self._followers.values()):
             if not follower.follows:
--- a/brackengate/lighthouse/standing.py
+++ b/brackengate/lighthouse/standing.py
@@ -4,13 +4,13 @@
 
 import msgspec
 
-from brackengate.lighthouse.member import Member
+from brackengate.lighthouse.replica import Replica
 from brackengate.signals.items import Item
 from brackengate.signals.words import ITEMS, Follows, HeldItem, Instance, Items, Neighbour, Standing
 
 
-def standing(member: Member, pilots: tuple[Follows, ...], now: int) -> Standing:
-    agreement, chain = member.agreement, member.chain
+def standing(replica: Replica, pilots: tuple[Follows, ...], now: int) -> Standing:
+    agreement, chain = replica.agreement, replica.chain
     view = agreement.view
     public = chain.published
     upstreams = tuple(
@@ -24,54 +24,54 @@
         if said is None:
             neighbours.append(Neighbour(addr, heard=heard))
         else:
-            neighbours.append(Neighbour(addr, said.zone, heard, said.joining, said.fit, said.leaves))
+            neighbours.append(Neighbour(addr, said.zone, heard, said.joining, said.disk_healthy, said.leaves))
     return Standing(
-        member.me,
-        agreement.inc,
+        replica.me,
+        agreement.incarnation,
         agreement.zone,
         view.epoch,
-        view.seats,
-        chain.enough,
-        chain.place,
-        chain.stored_place,
-        chain.agreed,
-        max((place for place, _ in public.values()), default=-1),
-        agreement.seated,
-        chain.whole,
-        member.serves(now),
-        agreement.fit,
+        view.members,
+        chain.min_replicas,
+        chain.index,
+        chain.stored_index,
+        chain.commit_index,
+        max((index for index, _ in public.values()), default=-1),
+        agreement.is_member,
+        chain.has_snapshot,
+        replica.serves(now),
+        agreement.disk_healthy,
         agreement.leaves,
-        agreement.sealed,
+        agreement.epoch_closed,
         len(chain.born),
         sum(1 for (kind, _), item in chain.items.items() if kind == "route" and item.body is not None),
         sum(1 for (kind, _), item in chain.items.items() if kind == "plant" and item.body is not None),
-        _duties(member, now),
+        _duties(replica, now),
         upstreams,
         tuple(neighbours),
         pilots,
     )
 
 
-def _duties(member: Member, now: int) -> tuple[str, ...]:
+def _duties(replica: Replica, now: int) -> tuple[str, ...]:
     """What this member does for all, by what it knows."""
-    agreement, chain = member.agreement, member.chain
-    if not agreement.seated:
+    agreement, chain = replica.agreement, replica.chain
+    if not agreement.is_member:
         return ()
-    seats, out = agreement.view.seats, []
-    if chain.whole and seats[0].addr == member.me:
+    seats, out = agreement.view.members, []
+    if chain.has_snapshot and seats[0].addr == replica.me:
         out += ["enter", "prune"]
-    if chain.whole and seats[-1].addr == member.me:
+    if chain.has_snapshot and seats[-1].addr == replica.me:
         out.append("agree")
-    if agreement.fit and agreement.mender(now) == member.me:
+    if agreement.disk_healthy and agreement.coordinator(now) == replica.me:
         out.append("mend")
     return tuple(out)
 
 
-def held(member: Member, now: int) -> Items:
+def held(replica: Replica, now: int) -> Items:
     """The operator's items, those that were dropped too: their versions still count."""
     items = []
-    for (kind, name), (place, value) in sorted(member.chain.published.items()):
+    for (kind, name), (index, value) in sorted(replica.chain.published.items()):
         if kind in ITEMS:
             item = msgspec.convert(value, Item)
-            items.append(HeldItem(kind, name, place, item.version, item.host, item.body))
-    return Items(member.serves(now), member.chain.agreed, member.agreement.view.epoch, tuple(items))
+            items.append(HeldItem(kind, name, index, item.version, item.host, item.body))
+    return Items(replica.serves(now), replica.chain.commit_index, replica.agreement.view.epoch, tuple(items))
--- a/brackengate/lighthouse/store.py
+++ b/brackengate/lighthouse/store.py
@@ -33,7 +33,7 @@
 import msgspec
 
 from brackengate.lighthouse.actions import Store
-from brackengate.lighthouse.member import FIRST, Kept
+from brackengate.lighthouse.replica import FIRST, StoredState
 from brackengate.lighthouse.view import NOBODY
 from brackengate.signals.words import Ballot, View
 
@@ -65,7 +65,7 @@
     return getattr(error, "sqlite_errorcode", 0) & 0xFF == sqlite3.SQLITE_FULL
 
 
-def open_disk(folder: str, first: bool) -> tuple[Disk, Kept]:
+def open_disk(folder: str, first: bool) -> tuple[Disk, StoredState]:
     """The folder's file and all that is there; a new one where there is none or it is damaged.
 
     `first`: the system's very first start, which a folder that ever held a file has behind it.
@@ -106,7 +106,7 @@
     return FIRST if first else os.urandom(6).hex()
 
 
-def _begin(path: Path, inc: str) -> None:
+def _begin(path: Path, incarnation: str) -> None:
     """A whole new file under its name; nothing of one before it is left beside it."""
     new = path.with_name("lighthouse.new")
     beside = (f"{NAME}-*", f"{new.name}*", TALLY)
@@ -122,14 +122,14 @@
             "CREATE TABLE rows (kind TEXT, name TEXT, place INTEGER, value BLOB,"
             " PRIMARY KEY (kind, name)) WITHOUT ROWID"
         )
-        disk.write([Store({"form": FORM, "inc": inc})])
+        disk.write([Store({"form": FORM, "inc": incarnation})])
     finally:
         disk.close()
     os.replace(new, path)
     _sync_folder(path.parent)
 
 
-def _checked(disk: Disk, first: bool) -> Kept:
+def _checked(disk: Disk, first: bool) -> StoredState:
     try:
         disk.settle("WAL")
         kept = disk.read()
@@ -140,9 +140,9 @@
         raise
     except (TypeError, ValueError) as error:  # what should be text or JSON is not
         raise Damaged(f"a value that can't be read: {error}") from None
-    if kept.inc == FIRST and not first and kept.view is None:  # it never took its seat
-        kept.inc = _life(False)
-        disk.write([Store({"inc": kept.inc})])
+    if kept.incarnation == FIRST and not first and kept.view is None:  # it never took its seat
+        kept.incarnation = _life(False)
+        disk.write([Store({"inc": kept.incarnation})])
     return kept
 
 
@@ -162,7 +162,7 @@
         for pragma in ("locking_mode=EXCLUSIVE", f"journal_mode={journal}", "synchronous=FULL"):
             self.db.execute(f"PRAGMA {pragma}")
 
-    def read(self) -> Kept:
+    def read(self) -> StoredState:
         """All that is there, checked; one of the form before is of this form from here on."""
         meta = {name: value for name, value in self.db.execute("SELECT name, value FROM meta")}
         if b"form" not in meta:
@@ -179,11 +179,11 @@
             self._meta = msgspec.json.decode(text, type=dict[str, msgspec.Raw])
         else:
             self._meta = {name.decode(): msgspec.Raw(value) for name, value in meta.items()}
-        inc: str | None = self._get("inc", str)
-        if inc is None:
+        incarnation: str | None = self._get("inc", str)
+        if incarnation is None:
             raise Damaged("it does not say its life")
         self._count, held_sum = self._get("tally", tuple[int, int]) or (0, 0)
-        lost = self._last_told(inc) - self._count
+        lost = self._last_told(incarnation) - self._count
         if lost > 0:
             raise Damaged(f"commits that were on the disk are gone from its end: {lost}")
         rows: list[tuple[str, str, int, Any]] = []
@@ -195,8 +195,8 @@
         for (found,) in self.db.execute("PRAGMA quick_check(1)"):
             if found != b"ok":
                 raise Damaged(found.decode(errors="replace"))
-        kept = Kept(
-            inc,
+        kept = StoredState(
+            incarnation,
             self._get("place", int) or 0,
             self._get("lineage", int) or 0,
             self._get("view", View),
@@ -254,7 +254,7 @@
 
     # --- the number of commits, told apart
 
-    def _last_told(self, inc: str) -> int:
+    def _last_told(self, incarnation: str) -> int:
         """0 where nothing was told, or not of this file's life."""
         try:
             data = self.path.with_name(TALLY).read_bytes()
@@ -264,7 +264,7 @@
         if total != b"%08x" % crc32(text):
             return 0  # torn by a loss of power
         told: tuple[str, int] = msgspec.json.decode(text, type=tuple[str, int])
-        return told[1] if told[0] == inc else 0
+        return told[1] if told[0] == incarnation else 0
 
     def _tell(self) -> None:
         """Where the disk does not take it there is one witness less, and nothing else."""
@@ -333,7 +333,7 @@
 class Waits(Protocol):
     """A disk as a member uses it: one call after the other, none of which holds up the loop."""
 
-    async def open(self, first: bool) -> Kept:
+    async def open(self, first: bool) -> StoredState:
         """All that is there; errors as of `open_disk`, of which some are worth another try."""
 
     def write(self, stores: list[Store]) -> asyncio.Future[None]:
@@ -347,7 +347,7 @@
         self._folder, self._threads = folder, ThreadPoolExecutor(1)
         self._disk: Disk | None = None
 
-    async def open(self, first: bool) -> Kept:
+    async def open(self, first: bool) -> StoredState:
         loop = asyncio.get_running_loop()
         self._disk, kept = await loop.run_in_executor(self._threads, open_disk, self._folder, first)
         return kept
--- a/brackengate/lighthouse/watchroom.py
+++ b/brackengate/lighthouse/watchroom.py
@@ -14,13 +14,12 @@
 
 import msgspec
 
-from brackengate.lighthouse.member import Member
+from brackengate.lighthouse.replica import Replica
 from brackengate.lighthouse.standing import held, standing
 from brackengate.signals.lines import Lines
 from brackengate.signals.words import (
     Amend,
-    Ask,
-    Done,
+    Command,
     Explain,
     Follows,
     Held,
@@ -29,6 +28,7 @@
     Look,
     Read,
     Rejoin,
+    Result,
     Seen,
     Stand,
 )
@@ -54,34 +54,34 @@
 class Watchroom:
     def __init__(
         self,
-        member: Member,
+        replica: Replica,
         followers: Mapping[Lines, Follower],
-        ask: Callable[[Ask, Callable[[Any], None]], None],
+        ask: Callable[[Command, Callable[[Any], None]], None],
         now: Callable[[], int],
     ) -> None:
-        self._member, self._followers, self._ask, self._now = member, followers, ask, now
+        self._replica, self._followers, self._ask, self._now = replica, followers, ask, now
         self._loop = asyncio.get_running_loop()
         self._rounds: dict[int, Round] = {}
         self._last = 0
 
     def heard(self, lines: Lines, word: Inquire) -> None:
         def say(result: Any) -> None:
-            lines.send(Done(word.id, msgspec.to_builtins(result)))
+            lines.send(Result(word.id, msgspec.to_builtins(result)))
 
-        member = self._member
+        replica = self._replica
         match word.what:
             case Stand():
-                self._look("", lambda pilots: say(standing(member, pilots, self._now())))
+                self._look("", lambda pilots: say(standing(replica, pilots, self._now())))
             case Explain(attempt):
                 self._look(attempt, say)
             case Held():
-                say(held(member, self._now()))
+                say(held(replica, self._now()))
             case Leave(replaced):
-                why = member.leave(replaced, self._now())
+                why = replica.leave(replaced, self._now())
                 log.info("watchroom: told to give up the seat: %s", why or "it does")
                 say({"refused": why} if why else {"ok": True})
             case Rejoin():
-                member.rejoin()
+                replica.rejoin()
                 log.info("watchroom: told to take a seat again")
                 say({"ok": True})
             case Amend() | Read():
@@ -100,7 +100,7 @@
         number = self._last
         following = {lines: one for lines, one in self._followers.items() if one.follows}
         asked = {lines: one for lines, one in following.items() if one.tells}
-        silent = tuple(Follows(lines.peer, one.place) for lines, one in following.items() if not one.tells)
+        silent = tuple(Follows(lines.peer, one.index) for lines, one in following.items() if not one.tells)
         self._rounds[number] = Round(lambda said: done((*said, *silent)), asked)
         if not asked:
             self._over(number)
@@ -116,6 +116,6 @@
         out = []
         for lines, follower in one.asked.items():
             said = one.said.get(lines)
-            place, wake = (said.place, said.wake) if said is not None else (None, ())
-            out.append(Follows(lines.peer, follower.place, place, wake))
+            index, wake = (said.index, said.wake) if said is not None else (None, ())
+            out.append(Follows(lines.peer, follower.index, index, wake))
         one.done(tuple(out))
--- a/brackengate/pilot/entry.py
+++ b/brackengate/pilot/entry.py
@@ -40,7 +40,7 @@
 from brackengate.pilot.load import Load, Ticket
 from brackengate.pilot.wake import ID, Wake
 from brackengate.signals.door import MOST_BODY
-from brackengate.signals.words import Ask, Claim, Unclaim
+from brackengate.signals.words import Claim, Command, Unclaim
 
 log = logging.getLogger("brackengate.gate")
 
@@ -117,7 +117,7 @@
         me: str,
         application: Address,
         window: int,
-        ask: Callable[[Ask, Callable[[Any], None], float], None],
+        ask: Callable[[Command, Callable[[Any], None], float], None],
         peers: Pool,
         address_of: Callable[[str], Address],
         life: str,
--- a/brackengate/pilot/follow.py
+++ b/brackengate/pilot/follow.py
@@ -18,16 +18,16 @@
 from brackengate.pilot.table import Table
 from brackengate.signals.lines import Dialer
 from brackengate.signals.words import (
-    Ask,
-    Asked,
     Away,
     Changes,
+    Command,
     Core,
-    Done,
     Follow,
+    FollowerCommand,
     Hello,
     Line,
     Look,
+    Result,
     Seen,
     Snapshot,
 )
@@ -52,7 +52,7 @@
 
 @dataclass(slots=True, eq=False)
 class Question:
-    what: Ask
+    what: Command
     done: Callable[[Any], None]
     timer: asyncio.TimerHandle
 
@@ -76,7 +76,7 @@
     def _opened(self, dialer: Dialer) -> None:
         self.heard = self._follow.now()
         dialer.send(Hello(self._follow.me, pilot=True))
-        dialer.send(Follow(self._follow.table.place, tells=True))
+        dialer.send(Follow(self._follow.table.index, tells=True))
 
     def _line(self, word: Line) -> None:
         self.heard = self._follow.now()
@@ -129,14 +129,14 @@
 
     # --- asking
 
-    def ask(self, what: Ask, done: Callable[[Any], None], within_s: float) -> None:
+    def ask(self, what: Command, done: Callable[[Any], None], within_s: float) -> None:
         """`done` is called once, with None where no answer came in time."""
         self._last += 1
         number = self._last
         timer = self._loop.call_later(within_s, self._unanswered, number)
         self._questions[number] = Question(what, done, timer)
         if self._link is not None and self._link.good:
-            self._link.send(Asked(number, what))
+            self._link.send(FollowerCommand(number, what))
 
     def _unanswered(self, number: int) -> None:
         question = self._questions.pop(number, None)
@@ -193,10 +193,10 @@
             self.lost(link, "it is out of touch")
         elif isinstance(word, Look):
             seen = self._wake(word.attempt) if word.attempt else ()
-            link.send(Seen(word.id, self.table.place, seen))
+            link.send(Seen(word.id, self.table.index, seen))
         elif isinstance(word, Core):
             self._members = dict(word.members)
-        elif isinstance(word, Done):
+        elif isinstance(word, Result):
             question = self._questions.pop(word.id, None)
             if question is not None:
                 question.timer.cancel()
@@ -205,7 +205,7 @@
             if not link.good:
                 self._followed(link)
             take = self.table.snapshot if isinstance(word, Snapshot) else self.table.changes
-            changed = take(word.place, word.rows)
+            changed = take(word.index, word.rows)
             if changed:
                 self._changed(changed)
 
@@ -217,6 +217,6 @@
             if old is not None:
                 old.close()
         self._turn = []
-        log.info("follow: %s, from place %d", link.addr, self.table.place)
+        log.info("follow: %s, from index %d", link.addr, self.table.index)
         for number, question in self._questions.items():
-            link.send(Asked(number, question.what))
+            link.send(FollowerCommand(number, question.what))
--- a/brackengate/pilot/table.py
+++ b/brackengate/pilot/table.py
@@ -15,7 +15,7 @@
     """Never goes from a newer version of an item to an older one, whichever lighthouse says what."""
 
     def __init__(self) -> None:
-        self.place = -1  # of the log of changes; -1: nothing is known yet
+        self.index = -1  # of the log of changes; -1: nothing is known yet
         self._items: dict[tuple[str, str], Item] = {}
         self.plants: dict[str, Plant] = {}
         self.instances: dict[str, Instance] = {}  # by machine
@@ -28,22 +28,22 @@
         """Whether there is a configuration: without one, nothing can be said of any request."""
         return bool(self._items)
 
-    def snapshot(self, place: int, rows: Iterable[Row]) -> set[str]:
+    def snapshot(self, index: int, rows: Iterable[Row]) -> set[str]:
         """As `changes`, and what is not named is gone.  An older one than what is held is left alone."""
-        if place < self.place:
+        if index < self.index:
             return set()
         rows = list(rows)
         named = {(kind, name) for kind, name, _ in rows}
         gone: list[Row] = [("inst", name, None) for name in self.instances if ("inst", name) not in named]
         gone += [("silent", name, None) for name in self.noticed if ("silent", name) not in named]
-        return self.changes(place, [*rows, *gone])
+        return self.changes(index, [*rows, *gone])
 
-    def changes(self, place: int, rows: Iterable[Row]) -> set[str]:
-        """Take rows up to a place; the kinds of what they changed."""
+    def changes(self, index: int, rows: Iterable[Row]) -> set[str]:
+        """Take rows up to a index; the kinds of what they changed."""
         changed: set[str] = set()
-        if place <= self.place and self.place >= 0:
+        if index <= self.index and self.index >= 0:
             return changed
-        self.place = place
+        self.index = index
         for kind, name, value in rows:
             if kind in ITEMS:
                 if self._item(kind, name, msgspec.convert(value, Item)):
@@ -105,7 +105,7 @@
 
 
 def choose(parts: tuple[Part, ...], at: float) -> str:
-    """The service at a place between 0 and 1 of the weights laid side by side."""
+    """The service at a index between 0 and 1 of the weights laid side by side."""
     ends: list[float] = []
     total = 0.0
     for part in parts:
--- a/brackengate/pilot/watcher.py
+++ b/brackengate/pilot/watcher.py
@@ -10,7 +10,7 @@
 
 from brackengate.net.sockets import Address
 from brackengate.pilot.watch import ASKS, EVERY, Watch
-from brackengate.signals.words import Ask, Noticed
+from brackengate.signals.words import Command, Suspect
 
 log = logging.getLogger("brackengate.watch")
 
@@ -23,7 +23,7 @@
         self,
         me: Address,
         now: Callable[[], int],
-        ask: Callable[[Ask, Callable[[Any], None], float], None],
+        ask: Callable[[Command, Callable[[Any], None], float], None],
         standing: Callable[[str, bool], None],
         gone: Callable[[str], None],
     ) -> None:
@@ -93,7 +93,7 @@
             if noticed or self._told:
                 log.info("watch: not heard by now: %s", ", ".join(noticed) or "nobody")
             self._telling = True
-            self._ask(Noticed(self._me[0], noticed), partial(self._done, noticed), TELL_WITHIN_S)
+            self._ask(Suspect(self._me[0], noticed), partial(self._done, noticed), TELL_WITHIN_S)
 
     def _look(self) -> None:
         silent, gone = self.watch.silent, self.watch.gone
--- a/brackengate/signals/settings.py
+++ b/brackengate/signals/settings.py
@@ -92,7 +92,7 @@
         return self.internal_ports[0]
 
     @property
-    def enough(self) -> int:
+    def min_replicas(self) -> int:
         """Disks that hold a write before it is acknowledged."""
         return self.tolerance.machines + 1
 
--- a/brackengate/signals/words.py
+++ b/brackengate/signals/words.py
@@ -19,11 +19,11 @@
     """One line."""
 
 
-class Seat(msgspec.Struct, frozen=True, array_like=True):
+class Member(msgspec.Struct, frozen=True, array_like=True):
     """A member of a view.  `inc`: the life of its disk; `since`: the epoch in which it took its seat."""
 
     addr: str
-    inc: str
+    incarnation: str
     since: int
 
 
@@ -31,20 +31,20 @@
     """Who holds the log in this epoch, from the head to the tail; they are its voters too."""
 
     epoch: int
-    seats: tuple[Seat, ...]
+    members: tuple[Member, ...]
 
-    def seat(self, addr: str) -> Seat | None:
-        return next((seat for seat in self.seats if seat.addr == addr), None)
+    def member(self, addr: str) -> Member | None:
+        return next((member for member in self.members if member.addr == addr), None)
 
     @property
     def majority(self) -> int:
-        return len(self.seats) // 2 + 1
+        return len(self.members) // 2 + 1
 
 
 class Entry(msgspec.Struct, frozen=True, array_like=True):
     """One step of the log: rows that come into being together."""
 
-    place: int
+    index: int
     rows: tuple[Row, ...]
 
 
@@ -92,14 +92,14 @@
     value: Any
 
 
-class Noticed(msgspec.Struct, tag_field="t", tag="noticed", frozen=True):
+class Suspect(msgspec.Struct, tag_field="t", tag="noticed", frozen=True):
     """The machines that a pilot watches and does not hear."""
 
     watcher: str
     silent: tuple[str, ...]
 
 
-Ask = Amend | Read | Claim | Unclaim | Report | Noticed
+Command = Amend | Read | Claim | Unclaim | Report | Suspect
 
 
 # --- among lighthouses
@@ -113,12 +113,12 @@
 
 
 class Ping(Word, frozen=True, tag="ping"):
-    inc: str
+    incarnation: str
     epoch: int
-    place: int = 0  # stored
-    synced: int = 0  # the epoch in which it has caught up with the one before it
+    index: int = 0  # stored
+    caught_up_epoch: int = 0  # the epoch in which it has caught up with the one before it
     joining: bool = False  # it holds no seat, and is fit for one
-    fit: bool = True  # its disk takes what it is given
+    disk_healthy: bool = True  # its disk takes what it is given
     zone: str = ""
     hears: tuple[str, ...] = ()
     leaves: bool = False  # it was told to give up its seat
@@ -152,8 +152,8 @@
 
     epoch: int
     ballot: Ballot
-    place: int
-    whole: bool  # it holds all that its seat owes
+    index: int
+    has_snapshot: bool  # it holds all that its seat owes
     taken_at: Ballot | None = None
     taken: View | None = None
 
@@ -174,42 +174,42 @@
     ballot: Ballot  # the higher one that was promised
 
 
-class Have(Word, frozen=True, tag="have"):
-    """To the one before in the chain: send what follows this place; -1: everything."""
+class Position(Word, frozen=True, tag="have"):
+    """To the one before in the chain: send what follows this index; -1: everything."""
 
     epoch: int
-    place: int
+    index: int
 
 
-class Forward(Word, frozen=True, tag="fwd"):
+class Append(Word, frozen=True, tag="fwd"):
     epoch: int
     after: int
     entries: tuple[Entry, ...]
 
 
-class Whole(Word, frozen=True, tag="whole"):
+class ChainSnapshot(Word, frozen=True, tag="whole"):
     """A snapshot for a member that takes its seat: it forgets what it held."""
 
     epoch: int
-    place: int
+    index: int
     rows: tuple[tuple[str, str, int, Any], ...]  # with the place of each
 
 
-class Stored(Word, frozen=True, tag="ack"):
-    """From the sender on to the tail, all have this place on disk."""
+class Ack(Word, frozen=True, tag="ack"):
+    """From the sender on to the tail, all have this index on disk."""
 
     epoch: int
-    place: int
+    index: int
 
 
-class Do(Word, frozen=True, tag="do"):
+class Submit(Word, frozen=True, tag="do"):
     """To the head: an ask that came to another member."""
 
     id: int
-    what: Ask
+    what: Command
 
 
-class Done(Word, frozen=True, tag="done"):
+class Result(Word, frozen=True, tag="done"):
     id: int
     result: Any
 
@@ -218,24 +218,24 @@
 
 
 class Follow(Word, frozen=True, tag="follow"):
-    """Send the changes from this place on; a snapshot first where they are not at hand."""
+    """Send the changes from this index on; a snapshot first where they are not at hand."""
 
-    place: int
+    index: int
     tells: bool = False  # it answers `Look`
 
 
-class Asked(Word, frozen=True, tag="ask"):
+class FollowerCommand(Word, frozen=True, tag="ask"):
     id: int
-    what: Ask
+    what: Command
 
 
 class Snapshot(Word, frozen=True, tag="snap"):
-    place: int
+    index: int
     rows: tuple[Row, ...]
 
 
 class Changes(Word, frozen=True, tag="chg"):
-    place: int
+    index: int
     rows: tuple[Row, ...] = ()
 
 
@@ -263,7 +263,7 @@
 
 class Seen(Word, frozen=True, tag="seen"):
     id: int
-    place: int
+    index: int
     wake: tuple[dict[str, Any], ...] = ()  # what it decided, the oldest first
 
 
@@ -316,14 +316,14 @@
     | Accept
     | Accepted
     | Outvoted
-    | Have
-    | Forward
-    | Whole
-    | Stored
-    | Do
-    | Done
+    | Position
+    | Append
+    | ChainSnapshot
+    | Ack
+    | Submit
+    | Result
     | Follow
-    | Asked
+    | FollowerCommand
     | Snapshot
     | Changes
     | Core
@@ -357,7 +357,7 @@
     zone: str = ""
     heard: bool = False
     joining: bool = False
-    fit: bool = True
+    disk_healthy: bool = True
     leaves: bool = False
 
 
@@ -365,8 +365,8 @@
     """A pilot that follows this lighthouse."""
 
     addr: str
-    sent: int  # the place that it was sent
-    place: int | None = None  # that it has, by its own word; None: it did not say
+    sent: int  # the index that it was sent
+    index: int | None = None  # that it has, by its own word; None: it did not say
     wake: tuple[dict[str, Any], ...] = ()  # what it decided of the attempt that was asked for
 
 
@@ -374,21 +374,21 @@
     """One lighthouse, by its own word.  Places are of the log; -1: none is known."""
 
     addr: str
-    inc: str
+    incarnation: str
     zone: str
     epoch: int
-    seats: tuple[Seat, ...]
-    enough: int  # disks that hold a write before it is acknowledged
-    place: int
+    members: tuple[Member, ...]
+    min_replicas: int  # disks that hold a write before it is acknowledged
+    index: int
     stored: int
-    agreed: int
+    commit_index: int
     public: int  # the last place of which pilots have anything to know
-    seated: bool
-    whole: bool
+    is_member: bool
+    has_snapshot: bool
     serves: bool
-    fit: bool = True
+    disk_healthy: bool = True
     leaves: bool = False
-    sealed: bool = False
+    epoch_closed: bool = False
     keys: int = 0
     routes: int = 0
     plants: int = 0
@@ -403,7 +403,7 @@
 
     kind: str
     name: str
-    place: int
+    index: int = msgspec.field(name="place")  # as backups name it
     version: int
     host: str = ""
     body: dict[str, Any] | None = None
@@ -411,6 +411,6 @@
 
 class Items(msgspec.Struct, frozen=True):
     serves: bool
-    agreed: int
+    commit_index: int
     epoch: int
     items: tuple[HeldItem, ...]
--- a/brackengate/soundings/chart.py
+++ b/brackengate/soundings/chart.py
@@ -10,20 +10,20 @@
 from brackengate.signals.words import (
     Accept,
     Accepted,
-    Do,
-    Done,
-    Forward,
-    Have,
+    Ack,
+    Append,
+    ChainSnapshot,
     Line,
     NewView,
     Outvoted,
     Ping,
+    Position,
     Prepare,
     Promise,
-    Stored,
+    Result,
+    Submit,
     View,
     WantView,
-    Whole,
 )
 from brackengate.soundings.model import Event, Model, State, carry
 from brackengate.soundings.vessel import FREED, READ, Effect, decode
@@ -120,7 +120,7 @@
 
 
 def _view(view: View) -> str:
-    return f"view {view.epoch}: {' '.join(seat.addr for seat in view.seats)}"
+    return f"view {view.epoch}: {' '.join(member.addr for member in view.members)}"
 
 
 def _word(word: Line) -> str:
@@ -140,17 +140,17 @@
             return f"agreed: {_view(view)}"
         case WantView():
             return "which view?"
-        case Have(epoch, place):
-            return f"view {epoch}: has {place if place >= 0 else 'nothing'}"
-        case Forward(epoch, after, entries):
-            return f"view {epoch}: after {after}: {' '.join(str(e.place) for e in entries) or 'nothing'}"
-        case Whole(epoch, place):
-            return f"view {epoch}: all up to {place}"
-        case Stored(epoch, place):
-            return f"view {epoch}: stored {place}"
-        case Do(_, what):
+        case Position(epoch, index):
+            return f"view {epoch}: has {index if index >= 0 else 'nothing'}"
+        case Append(epoch, after, entries):
+            return f"view {epoch}: after {after}: {' '.join(str(e.index) for e in entries) or 'nothing'}"
+        case ChainSnapshot(epoch, index):
+            return f"view {epoch}: all up to {index}"
+        case Ack(epoch, index):
+            return f"view {epoch}: stored {index}"
+        case Submit(_, what):
             return f"do {type(what).__name__.lower()} {getattr(what, 'gate', '')}".rstrip()
-        case Done(_, result):
+        case Result(_, result):
             return f"done: {_result(msgspec.json.encode(result))}"
         case Ping():
             return "ping"
--- a/brackengate/soundings/disk.py
+++ b/brackengate/soundings/disk.py
@@ -8,14 +8,14 @@
 import msgspec
 
 from brackengate.lighthouse.actions import Store
-from brackengate.lighthouse.member import Kept
+from brackengate.lighthouse.replica import StoredState
 from brackengate.lighthouse.view import NOBODY
 from brackengate.signals.words import Ballot, View
 
 
 @dataclass
 class DiskState:
-    inc: str = ""
+    incarnation: str = ""
     meta: dict[str, bytes] = field(default_factory=dict)
     rows: dict[tuple[str, str], tuple[int, bytes]] = field(default_factory=dict)
 
@@ -24,20 +24,20 @@
             self.rows.clear()
         for name, value in store.meta.items():
             self.meta[name] = msgspec.json.encode(value)
-        for place, (kind, name, value) in store.rows:
+        for index, (kind, name, value) in store.rows:
             if kind == "key" and value is None:
                 self.rows.pop((kind, name), None)
             else:
-                self.rows[kind, name] = (place, msgspec.json.encode(value))
+                self.rows[kind, name] = (index, msgspec.json.encode(value))
 
     def get(self, name: str, kind: Any, default: Any) -> Any:
         found = msgspec.json.decode(self.meta[name], type=kind) if name in self.meta else None
         return default if found is None else found
 
-    def kept(self) -> Kept:
-        rows = [(k, n, place, msgspec.json.decode(value)) for (k, n), (place, value) in self.rows.items()]
-        return Kept(
-            self.inc,
+    def kept(self) -> StoredState:
+        rows = [(k, n, index, msgspec.json.decode(value)) for (k, n), (index, value) in self.rows.items()]
+        return StoredState(
+            self.incarnation,
             self.get("place", int, 0),
             self.get("lineage", int, 0),
             self.get("view", View | None, None),
--- a/brackengate/soundings/mistakes.py
+++ b/brackengate/soundings/mistakes.py
@@ -6,9 +6,9 @@
 
 from brackengate.lighthouse.actions import Action, Answer
 from brackengate.lighthouse.chain import Chain
-from brackengate.lighthouse.member import Member
-from brackengate.lighthouse.view import Agreement, Log
-from brackengate.signals.words import Ask, Entry, Promise, Read, Seat
+from brackengate.lighthouse.replica import Replica
+from brackengate.lighthouse.view import Agreement, LogStatus
+from brackengate.signals.words import Command, Entry, Member, Promise, Read
 from brackengate.soundings.model import Bounds
 
 
@@ -16,64 +16,66 @@
     def _take(self, entries: tuple[Entry, ...], now: int) -> list[Action]:
         """Counts as stored what has only been handed to the disk."""
         out = super()._take(entries, now)
-        return out + (self.stored(self.place, self.life) if entries else [])
+        return out + (self.stored(self.index, self.generation) if entries else [])
 
 
 class _LonelyChain(Chain):
-    def __init__(self, me: str, enough: int, window: int, place: int, lineage: int, now: int) -> None:
-        """One disk is enough, whatever may be lost."""
-        super().__init__(me, 1, window, place, lineage, now)
+    def __init__(
+        self, me: str, min_replicas: int, window: int, index: int, snapshot_epoch: int, now: int
+    ) -> None:
+        """One disk is min_replicas, whatever may be lost."""
+        super().__init__(me, 1, window, index, snapshot_epoch, now)
 
 
 class _StaleChain(Chain):
-    def ask(self, what: Ask, local: int, now: int) -> list[Action]:
+    def ask(self, what: Command, local: int, now: int) -> list[Action]:
         """The tail answers a read from what it holds, without a look at whether it still is the tail."""
-        if isinstance(what, Read) and 0 <= self._index() == len(self.view.seats) - 1:
+        if isinstance(what, Read) and 0 <= self._chain_position() == len(self.view.members) - 1:
             return [Answer(local, self.configuration())]
         return super().ask(what, local, now)
 
 
 class _WipedVotes(Agreement):
     @property
-    def seated(self) -> bool:
-        """Its address is enough, whatever has become of its disk."""
-        return self.view.seat(self.me) is not None
+    def is_member(self) -> bool:
+        """Its address is min_replicas, whatever has become of its disk."""
+        return self.view.member(self.me) is not None
 
-    def _wiped(self, seat: Seat) -> bool:
+    def _wiped(self, member: Member) -> bool:
         return False
 
 
 class _NumberAgain(Agreement):
-    def _on_promise(self, addr: str, word: Promise, now: int, log: Log) -> list[Action]:
+    def _on_promise(self, addr: str, word: Promise, now: int, log: LogStatus) -> list[Action]:
         """Its own view under a number for which another may have been accepted."""
-        blank = Promise(word.epoch, word.ballot, word.place, word.whole)
+        blank = Promise(word.epoch, word.ballot, word.index, word.has_snapshot)
         return super()._on_promise(addr, blank, now, log)
 
 
-class _Hasty(Member):
+class _Hasty(Replica):
     chain_kind = _HastyChain
 
 
-class _Lonely(Member):
+class _Lonely(Replica):
     chain_kind = _LonelyChain
 
 
-class _Stale(Member):
+class _Stale(Replica):
     chain_kind = _StaleChain
 
 
-class _Wiped(Member):
+class _Wiped(Replica):
     agreement_kind = _WipedVotes
 
 
-class _Again(Member):
+class _Again(Replica):
     agreement_kind = _NumberAgain
 
 
 @dataclass(frozen=True)
 class Mistake:
     words: str
-    kind: type[Member]
+    kind: type[Replica]
     bounds: Bounds  # small ones, within which it shows
 
 
--- a/brackengate/soundings/model.py
+++ b/brackengate/soundings/model.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from brackengate.lighthouse.member import FIRST, Member
+from brackengate.lighthouse.replica import FIRST, Replica
 from brackengate.signals.words import Accept, Accepted, Claim, NewView, Promise, View
 from brackengate.soundings.vessel import (
     FREED,
@@ -41,7 +41,7 @@
 
     members: int = 3
     spare: int = 0  # of these, machines that stand beside the first view
-    enough: int = 2  # disks that hold a write before it is acknowledged
+    min_replicas: int = 2  # disks that hold a write before it is acknowledged
     writes: int = 1
     frees: int = 0  # claims that were granted are taken back
     reads: int = 0
@@ -89,8 +89,8 @@
     """Of one machine, as the invariants ask for them."""
 
     up: bool
-    inc: str
-    lineage: int
+    incarnation: str
+    snapshot_epoch: int
     epoch: int  # in memory
     held: frozenset[int]  # writes on its disk
     applied: frozenset[int]  # writes that it knows to be agreed
@@ -101,11 +101,11 @@
 
 
 class Model:
-    def __init__(self, bounds: Bounds, kind: type[Member] = Member) -> None:
+    def __init__(self, bounds: Bounds, kind: type[Replica] = Replica) -> None:
         self.bounds = bounds
         self.names = tuple("ABCDEFG"[: bounds.members])
         seeds = self.names[: bounds.members - bounds.spare]
-        self.waters = Waters(seeds, bounds.enough, kind, bounds.reads > 0, bounds.apart)
+        self.waters = Waters(seeds, bounds.min_replicas, kind, bounds.reads > 0, bounds.apart)
         self.vessels: list[Vessel] = []
         self.facts: list[Facts] = []
         self._known: dict[Any, int] = {}
@@ -159,27 +159,27 @@
         return self._pasts[state[-1]]
 
     def _facts_of(self, vessel: Vessel) -> Facts:
-        disk, member = vessel.disk, vessel.member
+        disk, replica = vessel.disk, vessel.replica
         held = self._writes(disk.rows)
-        if member is None:
-            return Facts(False, disk.inc, disk.get("lineage", int, 0), 0, held, frozenset(), "", False, False,
-                         frozenset())  # fmt: skip
-        chain, agreement = member.chain, member.agreement
+        if replica is None:
+            epoch = disk.get("lineage", int, 0)
+            return Facts(False, disk.incarnation, epoch, 0, held, frozenset(), "", False, False, frozenset())
+        chain, agreement = replica.chain, replica.agreement
         agreed = {
-            name: (place, encode(value))
-            for name, (place, value) in chain.rows.items()
-            if place <= chain.agreed
+            name: (index, encode(value))
+            for name, (index, value) in chain.rows.items()
+            if index <= chain.commit_index
         }
         return Facts(
             True,
-            disk.inc,
+            disk.incarnation,
             disk.get("lineage", int, 0),
             agreement.view.epoch,
             held,
             self._writes(agreed),
             chain._before(),
-            chain._index() > 0 and chain.synced != chain.view.epoch,
-            bool(chain._asks),
+            chain._chain_position() > 0 and chain.caught_up_epoch != chain.view.epoch,
+            bool(chain._pending),
             frozenset(addr for addr in agreement.peers if agreement.hears(addr, 0)),
         )
 
@@ -279,7 +279,11 @@
                 yield ("wipe", name)
         for name in names:
             if name not in up:
-                yield ("start", name, self.facts[state[self._at[name]]].inc or f"{name}{len(past.wiped)}")
+                yield (
+                    "start",
+                    name,
+                    self.facts[state[self._at[name]]].incarnation or f"{name}{len(past.wiped)}",
+                )
                 if left["wipes"] and self._may_be_wiped(state, name, past):
                     yield ("wipe", name)
         if left["losses"]:
@@ -289,13 +293,17 @@
 
     def _may_be_wiped(self, state: State, name: str, past: Past) -> bool:
         """One disk at once is what may be lost: whoever lost one before has taken its seat again."""
-        if self.facts[state[self._at[name]]].inc == "":
+        if self.facts[state[self._at[name]]].incarnation == "":
             return False
         return all(other == name or self._counts(state, other, past.views[-1]) for other in past.wiped)
 
     def _counts(self, state: State, name: str, view: View) -> bool:
-        facts, seat = self.facts[state[self._at[name]]], view.seat(name)
-        return seat is not None and seat.inc == facts.inc and seat.since == facts.lineage
+        facts, member = self.facts[state[self._at[name]]], view.member(name)
+        return (
+            member is not None
+            and member.incarnation == facts.incarnation
+            and member.since == facts.snapshot_epoch
+        )
 
     def steps(self, state: State) -> Iterator[tuple[Event, State | None, str]]:
         """All events, what each leads to (None: the bounds have no room) and the words of a breach."""
@@ -576,8 +584,8 @@
             facts = self.model.facts
             holds = {name for name in self.model.names if number in facts[self._host(name)].held}
             holds |= {name for gone, name in past.gone if gone == number}
-            if len(holds) < self.model.bounds.enough:
-                of = f"{len(holds)} of {self.model.bounds.enough} disks"
+            if len(holds) < self.model.bounds.min_replicas:
+                of = f"{len(holds)} of {self.model.bounds.min_replicas} disks"
                 raise Broken(f"write {number} was acknowledged when {of} had stored it")
             self.past = replace(past, acked=past.acked | {number}, seen=max(past.seen, number))
         else:
@@ -585,9 +593,9 @@
 
     def _voted(self, name: str, epoch: int) -> None:
         view = next((one for one in self.past.views if one.epoch == epoch - 1), None)
-        seat = view.seat(name) if view is not None else None
-        inc = self.model.facts[self._host(name)].inc
-        if seat is None or seat.inc != inc:
+        member = view.member(name) if view is not None else None
+        incarnation = self.model.facts[self._host(name)].incarnation
+        if member is None or member.incarnation != incarnation:
             raise Broken(f"{name} voted on view {epoch} with a disk that has no seat in view {epoch - 1}")
 
     def _agreed(self, view: View) -> None:
@@ -597,9 +605,11 @@
         self.past = replace(self.past, views=tuple(views[epoch] for epoch in sorted(views)))
 
     def _answers(self, name: str, epoch: int) -> None:
-        inc = self.model.facts[self._host(name)].inc
+        incarnation = self.model.facts[self._host(name)].incarnation
         for other_epoch, other, other_inc in self.past.tails:
-            if other_epoch == epoch and (other, other_inc) != (name, inc):
+            if other_epoch == epoch and (other, other_inc) != (name, incarnation):
                 raise Broken(f"{other} and {name} both answer as the tail of view {epoch}")
-        if (epoch, name, inc) not in self.past.tails:
-            self.past = replace(self.past, tails=tuple(sorted((*self.past.tails, (epoch, name, inc)))))
+        if (epoch, name, incarnation) not in self.past.tails:
+            self.past = replace(
+                self.past, tails=tuple(sorted((*self.past.tails, (epoch, name, incarnation))))
+            )
--- a/brackengate/soundings/vessel.py
+++ b/brackengate/soundings/vessel.py
@@ -16,14 +16,14 @@
 
 from brackengate.lighthouse.actions import Action, Answer, Store, Tell
 from brackengate.lighthouse.chain import Chain
-from brackengate.lighthouse.member import FIRST, Member
+from brackengate.lighthouse.replica import FIRST, Replica
 from brackengate.lighthouse.view import APART, NEVER, Agreement
 from brackengate.signals.words import (
     Accepted,
     Amend,
-    Ask,
     Ballot,
     Claim,
+    Command,
     Line,
     Ping,
     Pong,
@@ -47,8 +47,8 @@
     """What is the same in all states."""
 
     seeds: tuple[str, ...]
-    enough: int
-    kind: type[Member] = Member
+    min_replicas: int
+    kind: type[Replica] = Replica
     amends: bool = False  # whether writes are versions of one service, else claims of one key
     apart: bool = False  # whether a store is an event of its own, else part of what asked for it
 
@@ -58,11 +58,11 @@
     name: str
     disk: DiskState = field(default_factory=DiskState)
     starts: int = 0
-    member: Member | None = None
+    replica: Replica | None = None
     queue: deque[Store] = field(default_factory=deque)
 
 
-def ask(number: int, amends: bool) -> Ask:
+def ask(number: int, amends: bool) -> Command:
     if number > READ:
         return Read()
     if number > FREED:
@@ -79,7 +79,7 @@
             return {key: copied(one) for key, one in value.items()}
         case list() | deque() | set():
             return type(value)(copied(one) for one in value)
-        case Member() | Agreement() | Chain():
+        case Replica() | Agreement() | Chain():
             decider = copy.copy(value)
             decider.__dict__.update((key, copied(one)) for key, one in value.__dict__.items())
             return decider
@@ -128,7 +128,7 @@
             vessel.disk.write(store)
         if act[0] == "wipe":
             vessel.disk = DiskState()
-        vessel.member = None
+        vessel.replica = None
         vessel.queue.clear()
         return vessel, ()
     turn = _Turn(vessel, waters)
@@ -138,24 +138,24 @@
     actions = turn.begin(act)
     turn.carry_out(actions, torn)
     if torn:
-        vessel.member = None
+        vessel.replica = None
         vessel.queue.clear()
-    elif vessel.member is not None:
-        _still(vessel.member)
+    elif vessel.replica is not None:
+        _still(vessel.replica)
     return vessel, tuple(turn.effects)
 
 
 def ping(vessel: Vessel, addr: str) -> bytes | None:
     """The line that says to that member how this one stands."""
-    member: Member = copied(vessel.member)
-    for action in member.agreement._ping(0, member.chain.log()):
+    replica: Replica = copied(vessel.replica)
+    for action in replica.agreement._ping(0, replica.chain.log()):
         if isinstance(action, Tell) and action.addr == addr and isinstance(action.word, Ping):
-            return encode(msgspec.structs.replace(action.word, place=0))  # nobody decides by the place
+            return encode(msgspec.structs.replace(action.word, index=0))  # nobody decides by the index
     return None
 
 
-def _still(member: Member) -> None:
-    agreement, chain = member.agreement, member.chain
+def _still(replica: Replica) -> None:
+    agreement, chain = replica.agreement, replica.chain
     agreement._pinged = agreement._ticked = 0
     agreement._trouble = None
     agreement._apart.clear()
@@ -165,10 +165,10 @@
         else:
             peer.answered = peer.said_at = NEVER
         peer.refused, peer.ever = False, True
-    if agreement._bid is not None:
-        agreement._bid.at = 0
+    if agreement._change is not None:
+        agreement._change.at = 0
     chain._said_have = chain._pruned = 0
-    for pending in chain._asks.values():
+    for pending in chain._pending.values():
         pending.at = pending.sent = 0
 
 
@@ -176,56 +176,56 @@
     def __init__(self, vessel: Vessel, waters: Waters) -> None:
         self.vessel, self.waters = vessel, waters
         self.effects: list[Effect] = []
-        self._seen = _seen(vessel.member)
+        self._seen = _seen(vessel.replica)
 
     def begin(self, act: Act) -> list[Action]:
         vessel = self.vessel
         if act[0] == "start":
             vessel.starts += 1
-            vessel.disk.inc = vessel.disk.inc or act[1]
+            vessel.disk.incarnation = vessel.disk.incarnation or act[1]
             first = act[1] == FIRST
             waters, now = self.waters, vessel.starts * 1000  # asks are numbered from there
-            member = vessel.member = waters.kind(
-                vessel.name, "", vessel.disk.kept(), waters.seeds, first, waters.enough, WINDOW, now
+            replica = vessel.replica = waters.kind(
+                vessel.name, "", vessel.disk.kept(), waters.seeds, first, waters.min_replicas, WINDOW, now
             )
-            _still(member)
-            return member.start(0)
-        member = self.alive()
-        agreement, chain = member.agreement, member.chain
+            _still(replica)
+            return replica.start(0)
+        replica = self.alive()
+        agreement, chain = replica.agreement, replica.chain
         match act:
             case ("hear", addr, line):
-                return member.heard(addr, decode(line), 0)
+                return replica.heard(addr, decode(line), 0)
             case ("pong", addr):
-                return member.heard(addr, Pong(0), 0)
+                return replica.heard(addr, Pong(0), 0)
             case ("met", addr):
-                member.met(addr, 0)
-                return member.reconnected(addr, 0)
+                replica.met(addr, 0)
+                return replica.reconnected(addr, 0)
             case ("sync",):
                 return self.sync()
             case ("mend", *doubted):  # all pauses are over
                 for addr in doubted:
                     agreement.peers[addr].answered = agreement.peers[addr].said_at = NEVER
-                agreement._bid = None
-                agreement._alive(-2 * APART)
+                agreement._change = None
+                agreement._live_members(-2 * APART)
                 agreement._trouble = NEVER
-                return member._settle(agreement._mend(0, chain.log()), 0)
+                return replica._settle(agreement._reconfigure(0, chain.log()), 0)
             case ("ask", number):
-                return member.ask(ask(number, self.waters.amends), number, 0)
+                return replica.ask(ask(number, self.waters.amends), number, 0)
             case ("again",):
-                return [action for number in list(chain._asks) for action in chain._send(number, 0)]
+                return [action for number in list(chain._pending) for action in chain._send(number, 0)]
             case ("have",):
                 return chain._say_have(0)
         raise ValueError(act)
 
-    def alive(self) -> Member:
-        assert self.vessel.member is not None
-        return self.vessel.member
+    def alive(self) -> Replica:
+        assert self.vessel.replica is not None
+        return self.vessel.replica
 
     def sync(self) -> list[Action]:
         store = self.vessel.queue.popleft()
         self.vessel.disk.write(store)
         told: list[Action] = list(store.tells)
-        return told + (self.alive().stored(store.place, store.life) if store.place >= 0 else [])
+        return told + (self.alive().stored(store.index, store.generation) if store.index >= 0 else [])
 
     def carry_out(self, actions: Iterable[Action], torn: bool) -> None:
         vessel, me = self.vessel, self.vessel.name
@@ -258,27 +258,27 @@
 
     def look(self) -> None:
         """What has changed that somebody outside may care for."""
-        before, self._seen = self._seen, _seen(self.vessel.member)
+        before, self._seen = self._seen, _seen(self.vessel.replica)
         bid, view, agreed = self._seen
-        member = self.vessel.member
-        if member is None:
+        replica = self.vessel.replica
+        if replica is None:
             return
         if bid is not None and bid != before[0]:
             self.effects.append(("bid", bid[0]))
         if view != before[1]:
             self.effects.append(("view", view))
-        chain = member.chain
-        if agreed > before[2] and 0 <= chain._index() == len(chain.view.seats) - 1:
+        chain = replica.chain
+        if agreed > before[2] and 0 <= chain._chain_position() == len(chain.view.members) - 1:
             self.effects.append(("tail", chain.view.epoch))
 
 
-def _seen(member: Member | None) -> tuple[tuple[int, Ballot] | None, View | None, int]:
-    if member is None:
+def _seen(replica: Replica | None) -> tuple[tuple[int, Ballot] | None, View | None, int]:
+    if replica is None:
         return None, None, -1
-    bid = member.agreement._bid
-    named = None if bid is None else (bid.view.epoch, bid.ballot)
-    return named, member.agreement.view, member.chain.agreed
+    change = replica.agreement._change
+    named = None if change is None else (change.view.epoch, change.ballot)
+    return named, replica.agreement.view, replica.chain.commit_index
 
 
 def _bare(word: Line) -> Line:
-    return msgspec.structs.replace(word, place=0) if isinstance(word, Promise) else word
+    return msgspec.structs.replace(word, index=0) if isinstance(word, Promise) else word
--- a/tests/bridge/test_bridge_pure.py
+++ b/tests/bridge/test_bridge_pure.py
@@ -15,7 +15,7 @@
 from brackengate.pilot.hop import Said
 from brackengate.pilot.wake import MOST_OPEN, Wake
 from brackengate.signals.items import effect, read_call
-from brackengate.signals.words import Follows, HeldItem, Instance, Items, Neighbour, Seat, Standing
+from brackengate.signals.words import Follows, HeldItem, Instance, Items, Member, Neighbour, Standing
 
 
 def route(name: str, version: int, prefix: str = "", plant: str = "p") -> dict[str, Any]:
@@ -90,11 +90,27 @@
         self.assertThat(archive.unpack(whole).place, Equals(7))
 
 
-def standing(addr: str, agreed: int, seats: str = "ABC", **more: Any) -> Standing:
-    view = tuple(Seat(one, "first", 1) for one in seats)
+def standing(addr: str, commit_index: int, seats: str = "ABC", **more: Any) -> Standing:
+    view = tuple(Member(one, "first", 1) for one in seats)
     epoch = more.pop("epoch", 4)
-    given: dict[str, Any] = {"seated": addr in seats, "whole": True, "serves": True, "public": agreed}
-    return Standing(addr, "first", f"z{addr}", epoch, view, 2, agreed, agreed, agreed, **{**given, **more})
+    given: dict[str, Any] = {
+        "is_member": addr in seats,
+        "has_snapshot": True,
+        "serves": True,
+        "public": commit_index,
+    }
+    return Standing(
+        addr,
+        "first",
+        f"z{addr}",
+        epoch,
+        view,
+        2,
+        commit_index,
+        commit_index,
+        commit_index,
+        **{**given, **more},
+    )
 
 
 class Figures(TestCase):
@@ -125,7 +141,7 @@
             for seats in ("AB", "ABC", "ABCD", "ABCDE", "A")
         ]
         self.assertThat(spare, Equals([0, 1, 1, 2, -1]))
-        unfit = [standing("A", 1), standing("B", 1, fit=False)]  # and C does not answer
+        unfit = [standing("A", 1), standing("B", 1, disk_healthy=False)]  # and C does not answer
         self.assertThat(figures.spare(unfit), Equals(-1))
 
     def test_a_pilot_that_does_not_say_how_far_it_is_counts_as_late(self) -> None:
@@ -140,7 +156,7 @@
         self.assertThat(figures.unseen(told[1:]), Equals(["p4"]))
 
     def test_the_earliest_place_of_an_item_counts(self) -> None:
-        late = Items(True, 9, 2, tuple(msgspec.structs.replace(one, place=9) for one in HELD))
+        late = Items(True, 9, 2, tuple(msgspec.structs.replace(one, index=9) for one in HELD))
         names = [(("plant", "p"), 3), (("route", "a"), 3)]
         self.assertThat(figures.place_of(names, [late, ITEMS]), Equals(2))
         self.assertThat(figures.place_of([*names, (("route", "b"), 10)], [late, ITEMS]), Equals(None))
--- a/tests/emulator/test_mesh_hard.py
+++ b/tests/emulator/test_mesh_hard.py
@@ -123,16 +123,16 @@
 
 
 def test_a_wiped_voter_that_votes_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
-    """The seat is known by its address alone, whatever disk stands there."""
-    monkeypatch.setattr(Agreement, "_wiped", lambda self, seat: False)
-    monkeypatch.setattr(Agreement, "_sound", lambda self, seat, now: self.hears(seat.addr, now))
-    monkeypatch.setattr(Agreement, "seated", property(lambda self: self.view.seat(self.me) is not None))
-    monkeypatch.setattr(Chain, "whole", property(lambda self: self.view.seat(self.me) is not None))
+    """The member is known by its address alone, whatever disk stands there."""
+    monkeypatch.setattr(Agreement, "_wiped", lambda self, member: False)
+    monkeypatch.setattr(Agreement, "_is_healthy", lambda self, member, now: self.hears(member.addr, now))
+    monkeypatch.setattr(Agreement, "is_member", property(lambda self: self.view.member(self.me) is not None))
+    monkeypatch.setattr(Chain, "has_snapshot", property(lambda self: self.view.member(self.me) is not None))
 
-    def index(self: Chain) -> int:
-        return next((n for n, seat in enumerate(self.view.seats) if seat.addr == self.me), -1)
+    def chain_position(self: Chain) -> int:
+        return next((n for n, member in enumerate(self.view.members) if member.addr == self.me), -1)
 
-    monkeypatch.setattr(Chain, "_index", index)
+    monkeypatch.setattr(Chain, "_chain_position", chain_position)
     assert "TWICE" in played("wiped-voter.toml").rules
 
 
--- a/tests/lighthouse/corekit.py
+++ b/tests/lighthouse/corekit.py
@@ -17,9 +17,9 @@
 import msgspec
 
 from brackengate.lighthouse.actions import Action, Answer, Publish, Restart, Store, Tell
-from brackengate.lighthouse.member import FIRST, Kept, Member
+from brackengate.lighthouse.replica import FIRST, Replica, StoredState
 from brackengate.lighthouse.store import NAME, open_disk
-from brackengate.signals.words import Ask, Line
+from brackengate.signals.words import Command, Line
 from brackengate.soundings.disk import DiskState
 from standins.mesh import spoil
 
@@ -45,7 +45,7 @@
             shutil.copytree(left, self.here)
         self._disk, self._kept = open_disk(str(self.here), first)
 
-    def kept(self) -> Kept:
+    def kept(self) -> StoredState:
         return self._kept
 
     def write(self, store: Store) -> None:
@@ -62,8 +62,8 @@
     def __init__(self, core: Core, name: str) -> None:
         self.core, self.name = core, name
         self.disk: DiskState | FileState = core.disk(name)
-        self.life = 0
-        self.member: Member | None = None
+        self.generation = 0
+        self.replica: Replica | None = None
         self.stalled_until = self.frozen_until = 0
         self.answers: dict[int, Any] = {}
         self.asked: dict[int, Callable[[Any], None]] = {}
@@ -72,50 +72,50 @@
         self._writing = False
 
     def start(self, first: bool = False) -> None:
-        self.life += 1
+        self.generation += 1
         if isinstance(self.disk, FileState):
             self.disk.open(first)
-        elif not self.disk.inc:
-            self.disk.inc = FIRST if first else f"disk{self.core.rng.getrandbits(40)}"
+        elif not self.disk.incarnation:
+            self.disk.incarnation = FIRST if first else f"disk{self.core.rng.getrandbits(40)}"
         core = self.core
-        self.member = Member(
-            self.name, "", self.disk.kept(), core.seeds, first, core.enough, WINDOW, core.now
+        self.replica = Replica(
+            self.name, "", self.disk.kept(), core.seeds, first, core.min_replicas, WINDOW, core.now
         )
         self._queue, self._writing, self.asked = [], False, {}
         core.connect(self)
-        self.do(self.member.start(core.now))
-        self._tick(self.life)
+        self.do(self.replica.start(core.now))
+        self._tick(self.generation)
 
     def stop(self, wipe: bool = False, damage: str = "") -> None:
         """`damage`: bytes in the disk's file that are found and spoilt."""
-        self.life += 1
-        self.member = None
+        self.generation += 1
+        self.replica = None
         if wipe:
             self.disk = DiskState()
         if damage:
             assert isinstance(self.disk, FileState)
             self.disk.damage(damage.encode())
 
-    def ask(self, what: Ask, done: Callable[[Any], None]) -> None:
-        if self.member is not None:
+    def ask(self, what: Command, done: Callable[[Any], None]) -> None:
+        if self.replica is not None:
             number = self.core.number()
             self.asked[number] = done
-            self.do(self.member.ask(what, number, self.core.now))
+            self.do(self.replica.ask(what, number, self.core.now))
 
-    def _tick(self, life: int) -> None:
-        if life == self.life and self.member is not None:
+    def _tick(self, generation: int) -> None:
+        if generation == self.generation and self.replica is not None:
             if self.core.now >= self.frozen_until:
                 slow = self._writing and self.core.now < self.stalled_until
-                self.member.fit(not slow)
-                self.do(self.member.tick(self.core.now))
-            self.core.later(TICK, lambda: self._tick(life))
+                self.replica.set_disk_healthy(not slow)
+                self.do(self.replica.tick(self.core.now))
+            self.core.later(TICK, lambda: self._tick(generation))
 
     def hear(self, addr: str, line: bytes) -> None:
-        if self.member is not None:
+        if self.replica is not None:
             if self.core.now < self.frozen_until:
                 self.core.later(self.frozen_until - self.core.now + 1, lambda: self.hear(addr, line))
                 return
-            self.do(self.member.heard(addr, _decode(line), self.core.now))
+            self.do(self.replica.heard(addr, _decode(line), self.core.now))
 
     def do(self, actions: Iterable[Action]) -> None:
         for action in actions:
@@ -123,7 +123,9 @@
                 case Tell(addr, word):
                     line = msgspec.json.encode(word)
                     if addr == self.name:
-                        self.core.later(0, lambda line=line, life=self.life: self._self(line, life))
+                        self.core.later(
+                            0, lambda line=line, generation=self.generation: self._self(line, generation)
+                        )
                     else:
                         self.core.send(self, addr, line)
                 case Store():
@@ -132,22 +134,22 @@
                     done = self.asked.pop(number, None)
                     if done is not None:
                         done(result)
-                case Publish(place, rows):
-                    self.published.append((place, rows))
+                case Publish(index, rows):
+                    self.published.append((index, rows))
                 case Restart():
                     self.published.append((-1, ()))
         if self._queue and not self._writing:
             self._writing = True
             batch, self._queue = self._queue, []
             wait = max(self.core.now, self.stalled_until, self.frozen_until) - self.core.now + SYNC
-            self.core.later(wait, lambda life=self.life: self._written(batch, life))
+            self.core.later(wait, lambda generation=self.generation: self._written(batch, generation))
 
-    def _self(self, line: bytes, life: int) -> None:
-        if life == self.life:
+    def _self(self, line: bytes, generation: int) -> None:
+        if generation == self.generation:
             self.hear(self.name, line)
 
-    def _written(self, batch: list[Store], life: int) -> None:
-        if life != self.life or self.member is None:
+    def _written(self, batch: list[Store], generation: int) -> None:
+        if generation != self.generation or self.replica is None:
             return
         out: list[Action] = []
         for store in batch:
@@ -155,24 +157,31 @@
         self._writing = False
         for store in batch:
             out += store.tells
-            if store.place >= 0:
-                out += self.member.stored(store.place, store.life)
+            if store.index >= 0:
+                out += self.replica.stored(store.index, store.generation)
         self.do(out)
 
 
 class Core:
     def __init__(
-        self, names: Iterable[str], seed: int, enough: int = 2, seeds: int = 3, folder: Path | None = None
+        self,
+        names: Iterable[str],
+        seed: int,
+        min_replicas: int = 2,
+        seeds: int = 3,
+        folder: Path | None = None,
     ) -> None:
         """`folder`: the disks are real files there."""
         self.disk: Callable[[str], DiskState | FileState] = lambda name: (
             DiskState() if folder is None else FileState(folder / name.partition(":")[0])
         )
-        self.rng, self.now, self.enough = random.Random(seed), 0, enough
+        self.rng, self.now, self.min_replicas = random.Random(seed), 0, min_replicas
         self.hosts = {name: Host(self, name) for name in names}
         self.seeds = list(self.hosts)[:seeds]
         self.cuts: set[tuple[str, str]] = set()
-        self._held: dict[tuple[str, str], int] = {}  # the life of a link: lines of an older one are lost
+        self._held: dict[
+            tuple[str, str], int
+        ] = {}  # the generation of a link: lines of an older one are lost
         self._due: dict[tuple[str, str], int] = {}
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._count = 0
@@ -198,16 +207,16 @@
         if addr not in self.hosts or (host.name, addr) in self.cuts:
             return
         pair = (host.name, addr)
-        life = self._held.setdefault(pair, 0)
+        generation = self._held.setdefault(pair, 0)
         due = max(self.now + NET + self.rng.randrange(200), self._due.get(pair, 0) + 1)
         self._due[pair] = due
-        self.later(due - self.now, lambda: self._arrive(host, addr, line, pair, life))
+        self.later(due - self.now, lambda: self._arrive(host, addr, line, pair, generation))
 
-    def _arrive(self, host: Host, addr: str, line: bytes, pair: tuple[str, str], life: int) -> None:
-        if pair not in self.cuts and self._held[pair] == life:
+    def _arrive(self, host: Host, addr: str, line: bytes, pair: tuple[str, str], generation: int) -> None:
+        if pair not in self.cuts and self._held[pair] == generation:
             there = self.hosts[addr]
-            if there.member is None and host.member is not None:
-                host.do(host.member.refused(addr, self.now))
+            if there.replica is None and host.replica is not None:
+                host.do(host.replica.refused(addr, self.now))
             else:
                 there.hear(host.name, line)
 
@@ -218,14 +227,14 @@
             for one, two in ((host, other), (other, host)):
                 pair = (one.name, two.name)
                 self._held[pair] = self._held.get(pair, 0) + 1
-            if other.member is not None and other is not host:
+            if other.replica is not None and other is not host:
                 self.later(NET, lambda other=other: self._met(host, other))
 
     def _met(self, one: Host, two: Host) -> None:
         for here, there in ((one, two), (two, one)):
-            if here.member is not None and there.member is not None:
-                here.member.met(there.name, self.now)
-                here.do(here.member.reconnected(there.name, self.now))
+            if here.replica is not None and there.replica is not None:
+                here.replica.met(there.name, self.now)
+                here.do(here.replica.reconnected(there.name, self.now))
 
     def cut(self, pairs: Iterable[tuple[str, str]]) -> None:
         self.cuts.update(pairs)
@@ -240,5 +249,5 @@
 
     def views(self) -> dict[str, Any]:
         return {
-            name: host.member.agreement.view for name, host in self.hosts.items() if host.member is not None
+            name: host.replica.agreement.view for name, host in self.hosts.items() if host.replica is not None
         }
--- a/tests/lighthouse/test_core.py
+++ b/tests/lighthouse/test_core.py
@@ -12,7 +12,7 @@
 from testtools.matchers import Equals, HasLength
 from timeline import play
 
-from brackengate.lighthouse.member import FIRST
+from brackengate.lighthouse.replica import FIRST
 from brackengate.signals.words import Amend, Claim, Read
 
 
@@ -410,7 +410,7 @@
             if version == 20:
                 hosts[0].start()
         for host in hosts:
-            seen = [rows[0][2][0] for place, rows in host.published if place >= 0]
+            seen = [rows[0][2][0] for index, rows in host.published if index >= 0]
             self.assertThat(seen, Equals(sorted(set(seen))), host.name)
 
 
@@ -437,7 +437,7 @@
         folder=tmp_path,
     )
     assert answers == {"k1 g1": "ok", "k2 g2": "ok"}
-    lives = {seat.addr: seat.inc for view in core.views().values() for seat in view.seats}
+    lives = {member.addr: member.incarnation for view in core.views().values() for member in view.members}
     assert [lives[name] == FIRST for name in core.hosts] == [False, True, True]
 
 
@@ -492,9 +492,9 @@
         elif kind in ("cut", "mute"):
             core.cut([*others, *((b, a) for a, b in others if kind == "cut")])
             core.later(lasts, core.heal)
-        elif kind == "leave" and host.member is not None:
-            host.member.leave(rng.random() < 0.5, core.now)
-            core.later(lasts, host.member.rejoin)
+        elif kind == "leave" and host.replica is not None:
+            host.replica.leave(rng.random() < 0.5, core.now)
+            core.later(lasts, host.replica.rejoin)
         elif kind == "stall":
             host.stalled_until = core.now + lasts
         elif kind == "freeze":
@@ -510,6 +510,6 @@
     core.run(28_000_000)
     assert len({view.epoch for view in core.views().values()}) == 1
     for host in hosts:
-        assert host.member is not None and host.member.chain.whole
-        assert [key for key in granted if ("key", key) not in host.member.chain.rows] == []
+        assert host.replica is not None and host.replica.chain.has_snapshot
+        assert [key for key in granted if ("key", key) not in host.replica.chain.rows] == []
     assert len(granted) > 200
--- a/tests/lighthouse/test_disk.py
+++ b/tests/lighthouse/test_disk.py
@@ -14,13 +14,13 @@
 import pytest
 
 from brackengate.lighthouse.actions import Store
-from brackengate.lighthouse.member import FIRST, Kept
+from brackengate.lighthouse.replica import FIRST, StoredState
 from brackengate.lighthouse.role import Lighthouse
 from brackengate.lighthouse.store import ASIDE, NAME, TALLY, Disk, NewerForm, damaged, open_disk
 from brackengate.signals.settings import parse
-from brackengate.signals.words import Seat, View
+from brackengate.signals.words import Member, View
 
-VIEW = View(2, (Seat("a:1", FIRST, 1),))
+VIEW = View(2, (Member("a:1", FIRST, 1),))
 OTHERS = (f"{NAME}-wal", ASIDE, f"{ASIDE}-wal")
 
 
@@ -52,7 +52,7 @@
     return there
 
 
-def reopened(folder: Path) -> Kept:
+def reopened(folder: Path) -> StoredState:
     """It is usable too: what is written now is found next time."""
     disk, kept = open_disk(str(folder), first=True)
     try:
@@ -61,22 +61,22 @@
         disk.close()
     disk, again = open_disk(str(folder), first=True)
     disk.close()
-    assert (again.inc, again.promised, again.place) == (kept.inc, kept.promised, 500)
+    assert (again.incarnation, again.promised, again.index) == (kept.incarnation, kept.promised, 500)
     return kept
 
 
-def state(kept: Kept) -> tuple[object, ...]:
-    return kept.inc, kept.view, kept.promised, kept.place, sorted(kept.rows)
+def state(kept: StoredState) -> tuple[object, ...]:
+    return kept.incarnation, kept.view, kept.promised, kept.index, sorted(kept.rows)
 
 
-def is_new_life(kept: Kept) -> bool:
-    """As of a lost disk: no vote, no place, and the very first start is not claimed either."""
-    return kept.inc != FIRST and state(kept)[1:] == (None, (0, ""), 0, [])
+def is_new_life(kept: StoredState) -> bool:
+    """As of a lost disk: no vote, no index, and the very first start is not claimed either."""
+    return kept.incarnation != FIRST and state(kept)[1:] == (None, (0, ""), 0, [])
 
 
 def test_what_was_written_is_read_after_a_kill(served: Path) -> None:
     kept = reopened(served)
-    assert (kept.inc, kept.view, kept.promised, kept.place) == (FIRST, VIEW, (7, "b:1"), 69)
+    assert (kept.incarnation, kept.view, kept.promised, kept.index) == (FIRST, VIEW, (7, "b:1"), 69)
     assert [row[1] for row in sorted(kept.rows, key=lambda row: row[2])] == [
         f"k{n}" for n in range(1, 70) if n != 5
     ]
@@ -159,7 +159,7 @@
 
 
 def test_the_damaged_file_is_put_aside_and_named(served: Path, caplog: pytest.LogCaptureFixture) -> None:
-    for spoilt in (b"", b"spoilt"):  # the second one takes the first one's place
+    for spoilt in (b"", b"spoilt"):  # the second one takes the place of the first
         (served / NAME).write_bytes(spoilt)
         assert is_new_life(reopened(served))
         assert (served / ASIDE).read_bytes() == spoilt
@@ -221,7 +221,7 @@
     folder = killed(tmp_path, "before")
     db.close()
     disk, kept = open_disk(str(folder), first=False)
-    assert (kept.inc, kept.promised, kept.place) == (FIRST, (3, "c:1"), 9)
+    assert (kept.incarnation, kept.promised, kept.index) == (FIRST, (3, "c:1"), 9)
     assert kept.rows == [("key", "k9", 9, ["gate", "attempt"])]
     after = killed(folder, "after")  # and it is on the disk at once
     disk.close()
--- a/tests/lighthouse/test_watchroom.py
+++ b/tests/lighthouse/test_watchroom.py
@@ -13,7 +13,7 @@
 from brackengate.lighthouse import watchroom
 from brackengate.lighthouse.standing import held, standing
 from brackengate.lighthouse.watchroom import Watchroom
-from brackengate.signals.words import Amend, Done, Explain, Follows, Inquire, Look, Seen
+from brackengate.signals.words import Amend, Explain, Follows, Inquire, Look, Result, Seen
 
 PLANT = '{"Apply":{"Plants":[{"Name":"p","Revision":"r%d"}]},"Remove":{"Plants":[%s]}}'
 HOP = {"hop": "out", "at": 1}
@@ -30,13 +30,13 @@
 
 
 def follower(follows: bool = True, tells: bool = True) -> Any:
-    return SimpleNamespace(follows=follows, tells=tells, place=7)
+    return SimpleNamespace(follows=follows, tells=tells, index=7)
 
 
 def told(text: str) -> tuple[int, list[tuple[str, str, str]]]:
     """What `status` makes of the core at the end: how many may be lost; chain, duties and state of each."""
     core, _ = play(text)
-    members = [host.member for host in core.hosts.values() if host.member is not None]
+    members = [host.replica for host in core.hosts.values() if host.replica is not None]
     standings = [standing(member, (), core.now) for member in members]
     rows = figures.members(standings)
     found = [(row["chain"], " ".join(row.get("duties", "?")), row["state"]) for row in rows]
@@ -85,9 +85,9 @@
     for version, dropped in ((3, ""), (2, '{"Name":"p","Revision":"r7"}')):
         host.ask(Amend(PLANT % (version, dropped)), lambda _: None)
         core.run(core.now + 1_000_000)
-    assert host.member is not None
-    found = held(host.member, core.now)
-    assert [(one.name, one.version, one.body, one.place) for one in found.items] == [("p", 7, None, 2)]
+    assert host.replica is not None
+    found = held(host.replica, core.now)
+    assert [(one.name, one.version, one.body, one.index) for one in found.items] == [("p", 7, None, 2)]
     assert found.serves
 
 
@@ -108,8 +108,8 @@
         assert asker.sent == []
         await asker.said.wait()
         [done] = asker.sent
-        assert (type(done), done.id) == (Done, 3)
-        told = {one["addr"]: (one.get("place"), one.get("wake", [])) for one in done.result}
+        assert (type(done), done.id) == (Result, 3)
+        told = {one["addr"]: (one.get("index"), one.get("wake", [])) for one in done.result}
         assert told == {"quick": (9, (HOP,)), "silent": (None, []), "older": (None, [])}
         room.seen(silent, Seen(1, 9))  # type: ignore[arg-type]
 
@@ -126,6 +126,6 @@
         room.seen(one, Seen(1, 9))  # type: ignore[arg-type]
         assert asker.sent == []
         room.seen(two, Seen(1, 8))  # type: ignore[arg-type]
-        assert [Follows(**row).place for row in asker.sent[0].result] == [9, 8]
+        assert [Follows(**row).index for row in asker.sent[0].result] == [9, 8]
 
     asyncio.run(play())
--- a/tests/lighthouse/timeline.py
+++ b/tests/lighthouse/timeline.py
@@ -29,7 +29,7 @@
 
 
 def play(
-    text: str, seed: int = 1, enough: int = 2, seeds: int = 3, folder: Path | None = None
+    text: str, seed: int = 1, min_replicas: int = 2, seeds: int = 3, folder: Path | None = None
 ) -> tuple[Core, dict[str, str]]:
     """Play it to 8 s behind its last line; the core, and what became of each ask: ok, held by a gate, or
     none.  With a folder the disks are real files there."""
@@ -37,7 +37,7 @@
     title, body = lines[0], lines[1:]
     starts = [(m.start(), m[0]) for m in re.finditer(r"\S+", title) if m.start() > title.index("|")]
     addresses = {name: f"10.0.0.{n + 1}:80" for n, (_, name) in enumerate(starts)}
-    core = Core(addresses.values(), seed, enough, seeds, folder)
+    core = Core(addresses.values(), seed, min_replicas, seeds, folder)
     answers: dict[str, str] = {}
     last = 0
     for line in body:
@@ -71,11 +71,11 @@
 
         host.ask(what, done)
     elif word in ("leave", "replaced", "rejoin"):
-        assert host.member is not None
+        assert host.replica is not None
         if word == "rejoin":
-            host.member.rejoin()
+            host.replica.rejoin()
         else:
-            answers[rest[0]] = host.member.leave(word == "replaced", core.now)
+            answers[rest[0]] = host.replica.leave(word == "replaced", core.now)
     elif word in ("down", "wipe"):
         host.stop(wipe=word == "wipe")
     elif word == "damage":
@@ -97,13 +97,13 @@
 
 
 def _look(core: Core, host: Host, word: str, rest: list[str], line: str) -> None:
-    member = host.member
+    member = host.replica
     if member is None:
         raise Broken(f"it is down: {line}")
     found = {
-        "head": lambda: member.chain.head == host.name and member.agreement.seated,
-        "in": lambda: member.agreement.seated and member.chain.whole,
-        "out": lambda: not member.agreement.seated,
+        "head": lambda: member.chain.head == host.name and member.agreement.is_member,
+        "in": lambda: member.agreement.is_member and member.chain.has_snapshot,
+        "out": lambda: not member.agreement.is_member,
         "has": lambda: ("key", rest[0]) in member.chain.rows,
         "serves": lambda: member.serves(core.now),
         "away": lambda: not member.serves(core.now),
