--- a/brackengate/emulator/mesh/checks.py
+++ b/brackengate/emulator/mesh/checks.py
@@ -7,10 +7,11 @@
 
 from bisect import bisect_right
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 from brackengate.emulator.checks import Broken, Record
+from brackengate.emulator.mesh import order_checks
 from brackengate.emulator.mesh.scenario import Limits
 
 PROMISES = (408, 421, 429, 503)
@@ -157,6 +158,8 @@
         self.reads: list[tuple[int, dict[str, tuple[int, tuple[str, ...]]]]] = []
         self.terms: dict[str, list[int]] = defaultdict(list)
         self.lives: dict[str, list[int]] = defaultdict(list)
+        self.replies: dict[int, list[tuple[int, int]]] = defaultdict(list)  # to an order: when, status
+        self.may_be_refused: set[int] = set()  # orders whose acknowledgement the gate does not ask for
         self.closing = self.back = 0
         for when, what, of in records:
             match what, of:
@@ -175,8 +178,12 @@
                     self.versions[name].append(made)
                     self.calls[call].append(made)
                 case "acked", (int(call),):
-                    for one in self.calls[call]:
+                    for one in self.calls.get(call, ()):  # an order without routes offers none
                         one.acked = when if one.acked is None else one.acked
+                case "said", (int(call), int(status)):
+                    self.replies[call].append((when, status))
+                case "may be refused", (int(call),):
+                    self.may_be_refused.add(call)
                 case "drains", (str(u), str(ip)):
                     self.drains[u] = (when, ip)
                 case "begins", (str(u), _, str(ip)):
@@ -207,6 +214,12 @@
         return found if least else [*found, Version(0, (), 0, True)]
 
 
+def in_force(same: Iterable[Version]) -> list[Version]:
+    """Of the versions under one number, those that may be in force: the acknowledged one, else any."""
+    versions = list(same)
+    return [one for one in versions if one.acked is not None] or versions
+
+
 # --- the rules
 
 
@@ -375,18 +388,16 @@
         return broken
     when, held = seen.reads[-1]
     for name, versions in seen.versions.items():
-        sound = {one.number: one for one in versions if one.sound}
-        acked = max(
-            (one.number for one in sound.values() if one.acked is not None and one.acked <= when), default=0
-        )
+        sound = [one for one in versions if one.sound]
+        acked = max((one.number for one in sound if one.acked is not None and one.acked <= when), default=0)
         number, services = held.get(name, (0, ()))
         if number:
-            sent = sound.get(number)
-            if sent is None or set(sent.services) != set(services):
+            sent = in_force(one for one in sound if one.number == number)
+            if not any(set(one.services) == set(services) for one in sent):
                 broken.at(when, f"{name} is read back as version {number}, {services}, which nobody sent")
             elif number < acked:
                 broken.at(when, f"{name} is read back as version {number}; {acked} was acknowledged")
-        elif acked and not any(not one.services and one.number >= acked for one in sound.values()):
+        elif acked and not any(not one.services and one.number >= acked for one in sound):
             broken.at(when, f"{name} is missing; version {acked} was acknowledged")
     return broken
 
@@ -459,8 +470,15 @@
     for call, items in seen.calls.items():
         first = items[0]
         until = first.offered + ACK
-        if not first.sound or until > seen.last or (first.acked is not None and first.acked <= until):
+        if (
+            not first.sound
+            or call in seen.may_be_refused
+            or until > seen.last
+            or (first.acked is not None and first.acked <= until)
+        ):
             continue
+        if any(status == 200 and when <= until for when, status in seen.replies[call]):
+            continue  # it was acknowledged, and the word of it was lost on its way
         if all(seen.touch.settled(when) for when in (first.offered, first.offered + ONE, until)):
             broken.at(until, f"call {call} is not acknowledged")
     return broken
@@ -478,7 +496,8 @@
     """Every rule, broken or not."""
     rules = (mixed, unasked, twice, refused, denied, route, drain, config, read_back, lost, budget)
     found: dict[str, Broken] = {}
-    for one in (*(rule(seen) for rule in rules), recover(seen), acks(seen), no_crash(seen)):
+    orders = (order_checks.confirmed_twice, order_checks.refused_again, order_checks.outdated_after_start)
+    for one in (*(rule(seen) for rule in (*rules, *orders)), recover(seen), acks(seen), no_crash(seen)):
         whole = found.setdefault(one.rule, one)
         if whole is not one:
             whole.count += one.count
--- a/brackengate/emulator/mesh/faults.py
+++ b/brackengate/emulator/mesh/faults.py
@@ -6,10 +6,13 @@
 from functools import partial
 
 from brackengate.emulator.loop import MS, S
-from brackengate.emulator.mesh.scenario import Fault, MeshScenario
+from brackengate.emulator.mesh.people import LostAcks
+from brackengate.emulator.mesh.scenario import ORDERS, Fault, MeshScenario
 from brackengate.emulator.mesh.world import BACK, CALM, Machine, World
 from brackengate.lighthouse.actions import Store
 
+SOON_AFTER = (5 * MS, 400 * MS)  # a blow comes so long after an order was sent
+REPLACED = S  # from the loss of a core machine to the start of the next, or from that start to SIGTERM
 OVERLAP = 6 * S  # a machine of the core goes so long after the one that takes its place has come
 CRASHED = S  # from an upstream's crash to its next life
 
@@ -25,10 +28,16 @@
     ends = [0]
     for fault in told.fault:
         last = int(told.length) if fault.every or fault.after else int(fault.at)
-        ends.append(CALM + last + max(int(fault.lasts), OVERLAP if fault.kind == "seeds" else S))
+        ends.append(CALM + last + max(int(fault.lasts), _ends_after(fault)))
     return max(ends)
 
 
+def _ends_after(fault: Fault) -> int:
+    if fault.kind == "replace_core":
+        return OVERLAP + (int(fault.lasts) or REPLACED)
+    return OVERLAP if fault.kind == "seeds" else fault.count * S
+
+
 def _begins(world: World, fault: Fault) -> None:
     if fault.every and world.loop.now + int(fault.every) < CALM + int(world.told.length):
         world.loop.after(int(fault.every), partial(_begins, world, fault))
@@ -36,9 +45,15 @@
         _close(world, fault)
     elif fault.kind == "loss":
         _loss(world, fault)
+    elif fault.kind in ORDERS:
+        _orders(world, fault)
     elif fault.after == "ack":
         world.operators.acknowledged.append(partial(_strike, world, fault))
         world.operators.change()
+    elif fault.after == "sent":
+        world.operators.change()
+        wait = int(fault.wait) or world.rng.randrange(*SOON_AFTER)
+        world.loop.after(wait, partial(_strike, world, fault))
     elif fault.after == "sync":
         for machine in _named(world, fault.on):
             machine.disk.synced = partial(_synced, world, fault, machine)
@@ -56,11 +71,34 @@
             if seats:
                 at = {"head": 0, "middle": len(seats) // 2, "tail": -1}[name]
                 found[world.machine(seats[at])] = None
+        elif name == "acker":
+            address = world.operators.answered_by
+            if address is not None:
+                found[world.machine_at(address)] = None
+        elif name == "lot":
+            found[world.rng.choice(world.listed())] = None
         else:
             found[world.machine(name)] = None
     return list(found)
 
 
+def _orders(world: World, fault: Fault) -> None:
+    """What strikes the operators' orders."""
+    world.trace("fault", fault.kind, ())
+    operators, troubles, count = world.operators, world.operators.troubles, fault.count
+    match fault.kind:
+        case "ack_lost":
+            operators.lost_acks = LostAcks(world.loop.now + int(fault.lasts), float(fault.part))
+        case "bad_order":
+            troubles.again_and_again(count, partial(troubles.bad_order, fault.order))
+        case "config_race":
+            troubles.again_and_again(count, troubles.race)
+        case "resend":
+            troubles.again_and_again(count, troubles.resend)
+        case "overtaken_order":
+            troubles.again_and_again(count, troubles.overtaken)
+
+
 def _synced(world: World, fault: Fault, machine: Machine, stores: list[Store]) -> None:
     """A commit with a claim is on the disk, and its process has not heard of it yet."""
     if any(row[0] == "key" for store in stores for _, row in store.rows):
@@ -117,8 +155,12 @@
         case "clock":
             machine.off += -int(fault.by) if fault.back else int(fault.by)
             world.trace("clock", machine.name)
+        case "reset_conns":
+            _reset_some(world, fault, machine, loop.now + lasts)
         case "seeds":
             _exchange(world, machine)
+        case "replace_core":
+            _replace(world, machine, fault.planned, lasts or REPLACED)
         case "crash":
             if machine.upstream is not None:
                 machine.upstream.die()
@@ -155,25 +197,104 @@
                 world.net.set_cut(one.ip, other.ip, on)
 
         world.loop.after(0 if on else int(fault.lasts), turn)
+    if fault.seeds_first:
+        world.put_seeds_first([machine.name for machine in machines if machine.core])
+    _restarts(world, fault, machines)
+
+
+def _restarts(world: World, fault: Fault, cut_off: list[Machine]) -> None:
+    """Some machines are restarted during a cut, so that they read the seeds anew."""
+    lasts = int(fault.lasts)
+    if fault.restart == "others":
+        rest = [one for one in world.pilots if one not in cut_off]
+        for machine in rest[: (len(rest) + 1) // 2]:
+            world.loop.after(world.rng.randrange(lasts // 4, lasts // 2), partial(_restart, world, machine))
+    elif fault.restart == "both":
+        others = [one for one in world.listed() if one not in cut_off]
+        for number, machine in enumerate([*cut_off, *others]):
+            world.loop.after(lasts // 4 + number * S, partial(_restart, world, machine))
+
+
+def _restart(world: World, machine: Machine) -> None:
+    machine.kill()
+    world.loop.after(BACK, machine.begin)
 
 
 def _exchange(world: World, old: Machine) -> None:
     """Another machine, with an empty disk, takes its place; it goes for good, or until it is a spare."""
-    spare = next((one for one in world.core if one not in world.listed() and not one.process.alive), None)
-    if spare is None or old not in world.listed():
+    spare = _spare(world, old)
+    if spare is None:
+        return
+    _comes_new(spare)
+
+    def goes() -> None:
+        world.replace(old, spare)
+        _goes_for_good(world, old)
+
+    world.loop.after(OVERLAP, goes)
+
+
+def _replace(world: World, old: Machine, planned: bool, pause: int) -> None:
+    """One goes for good, an empty one comes at another address; planned: it comes first, and the old one
+    gets SIGTERM a pause later; else it comes a pause after the loss."""
+    spare = _spare(world, old)
+    if spare is None:
         return
+    if not planned:
+        _goes_for_good(world, old)
+
+    def then() -> None:
+        world.replace(old, spare)
+        if planned:
+            _stops_for_good(world, old)
+        else:
+            _comes_new(spare)
+
+    if planned:
+        _comes_new(spare)
+    world.loop.after(pause, then)
+
+
+def _spare(world: World, old: Machine) -> Machine | None:
+    """An empty machine that may take the place of this one, if it still has one."""
+    if old not in world.listed():
+        return None
+    return next((one for one in world.core if one not in world.listed() and not one.process.alive), None)
+
+
+def _comes_new(spare: Machine) -> None:
     spare.gone = False
+    spare.disk.wipe()
     if not spare.powered:
         spare.get_power()
     spare.begin()
 
-    def goes() -> None:
-        world.replace(old, spare)
-        old.lose_power(wipe=True)
-        world.trace("removed", old.name)
-        old.gone = True
 
-    world.loop.after(OVERLAP, goes)
+def _goes_for_good(world: World, old: Machine) -> None:
+    old.lose_power(wipe=True)
+    world.trace("removed", old.name)
+    old.gone = True
+
+
+def _stops_for_good(world: World, old: Machine) -> None:
+    """SIGTERM, then its disk goes with it."""
+    old.gone = True
+    old.term()
+    world.trace("removed", old.name)
+
+    def ends() -> None:
+        if old.gone:  # it was not started again meanwhile, as an empty machine
+            old.lose_power(wipe=True)
+
+    world.loop.after(int(world.told.limits.grace) + MS, ends)
+
+
+def _reset_some(world: World, fault: Fault, machine: Machine, until: int) -> None:
+    """A share of its connections, again every second."""
+    world.trace("reset", machine.name)
+    machine.process.reset(lambda: world.rng.random() < float(fault.part))
+    if world.loop.now + S < until:
+        world.loop.after(S, partial(_reset_some, world, fault, machine, until))
 
 
 def _leaves(world: World, machine: Machine, reuse: bool) -> None:
--- a/brackengate/emulator/mesh/ground.py
+++ b/brackengate/emulator/mesh/ground.py
@@ -181,9 +181,9 @@
         for do in slept:
             self.enter(do)
 
-    def reset(self) -> None:
-        """Break all its connections, at both ends."""
-        for end in list(self._ends):
+    def reset(self, chosen: Callable[[], bool] = lambda: True) -> None:
+        """Break its connections, at both ends; only those that are chosen."""
+        for end in [end for end in self._ends if chosen()]:
             end.over = True
             end.reset()
 
--- a/brackengate/emulator/mesh/hunt.py
+++ b/brackengate/emulator/mesh/hunt.py
@@ -4,7 +4,7 @@
 
 import random
 from collections.abc import Iterable
-from typing import Any
+from typing import Any, get_args
 
 import msgspec
 
@@ -12,11 +12,21 @@
 from brackengate.emulator.loop import MS, S
 from brackengate.emulator.mesh.faults import OVERLAP
 from brackengate.emulator.mesh.play import Played
-from brackengate.emulator.mesh.scenario import LASTING, STRIKES, Fault, MeshScenario, pilots
+from brackengate.emulator.mesh.scenario import (
+    LASTING,
+    ORDERS,
+    STRIKES,
+    Fault,
+    MeshScenario,
+    OrderKinds,
+    pilots,
+)
 from brackengate.installation.units import Duration
 
 MOST_FAULTS = 6
 KINDS = tuple(kind for kind in STRIKES if kind != "close")
+ORDER_KINDS = get_args(OrderKinds)
+BY_LOT = ("acker", "lot")  # core machines that are known only when the fault strikes
 LONGEST = 8 * S
 SETTLING = 4 * S  # a machine that has returned counts as lost for so long
 TAIL = 5 * S  # of a scenario, behind its last fault
@@ -34,8 +44,9 @@
 
 def drawn(told: MeshScenario, rng: random.Random) -> Fault:
     """A fault that the scenario allows."""
-    replace, kind = msgspec.structs.replace, rng.choice(KINDS)
-    core = [f"l{n}" for n in range(told.core.count)] + ["head", "middle", "tail"]
+    allowed = [kind for kind in KINDS if kind != "replace_core" or told.core.spare]
+    replace, kind = msgspec.structs.replace, rng.choice(allowed)
+    core = [f"l{n}" for n in range(told.core.count)] + ["head", "middle", "tail", *BY_LOT]
     sides = [f"p{n}" for n in range(pilots(told))]
     places = (core if "l" in STRIKES[kind] else []) + (sides if "p" in STRIKES[kind] else [])
     on: tuple[str, ...] = (rng.choice(places),) if places else ()
@@ -55,8 +66,17 @@
     elif kind == "cut":
         to = rng.choice([(), ("core",), ("pilots",), (rng.choice([one for one in core + sides]),)])
         made = replace(made, to=to, one_way=rng.random() < 0.4)
+        if on[0] in core:
+            restart = rng.choice(("", "", "others", "both"))
+            made = replace(made, seeds_first=rng.random() < 0.3, restart=restart)
+    elif kind in ("ack_lost", "reset_conns"):
+        made = replace(made, part=round(rng.uniform(0.3, 0.9), 2))
+    elif kind == "replace_core":
+        made = replace(made, planned=rng.random() < 0.5, lasts=Duration(S))
+    elif kind in ORDERS:
+        made = replace(made, order=rng.choice(ORDER_KINDS), count=rng.randrange(1, 4))
     elif kind in ("kill", "power", "wipe") and on[0] in core and rng.random() < 0.4:
-        made = replace(made, after=rng.choice(("sync", "ack")))
+        made = replace(made, after=rng.choice(("sync", "ack", "sent", "sent")))
     return made
 
 
@@ -68,12 +88,12 @@
     """
     spans: list[tuple[int, int, bool]] = []  # whether a disk goes
     for one in told.fault:
-        at, lasts, disk = int(one.at), int(one.lasts), one.kind in ("wipe", "seeds")
+        at, lasts, disk = int(one.at), int(one.lasts), one.kind in ("wipe", "seeds", "replace_core")
         core = [name for name in (*one.on, *(one.to if one.kind == "cut" else ())) if name[0] != "p"]
         brief = one.kind in ("kill", "power") and lasts <= S
         if not core or brief or one.kind in ("clock", "term"):
             continue
-        if one.kind == "seeds":
+        if one.kind in ("seeds", "replace_core"):
             lasts = OVERLAP
         if one.after:
             lasts += S  # it waits for its moment
--- a/brackengate/emulator/mesh/people.py
+++ b/brackengate/emulator/mesh/people.py
@@ -5,12 +5,13 @@
 import json
 import random
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 from typing import Protocol
 
 from brackengate.emulator.loop import MS, Loop, S
 from brackengate.emulator.mesh.ground import Ways
+from brackengate.emulator.mesh.order_troubles import OrderTroubles
 from brackengate.emulator.mesh.scenario import MeshScenario, Route
 from brackengate.emulator.mesh.talk import Call, Heard, message
 from brackengate.emulator.process import Process
@@ -228,19 +229,40 @@
     sound: bool = True
     tries: int = 0
     odd: int = 0  # other 4xx
+    unheard: list[Address] = field(default_factory=list)  # machines whose acknowledgement was lost
+    avoid: Address | None = None  # a machine that the first try does not go to
+    address: Address | None = None  # of the last try
+    acked: bool = False
+    done: Callable[[Change], None] | None = None  # called once, when it is acknowledged
+
+
+@dataclass(slots=True)
+class LostAcks:
+    """A share of the acknowledgements to the operators does not reach them, until a time."""
+
+    until: int = 0
+    share: float = 0.0
 
 
 class Operators:
     """Two who change the configuration; one reads it back at the end."""
 
     def __init__(self, around: Around, seed: int) -> None:
-        self._around, self._loop = around, around.loop
+        self._around, self.loop = around, around.loop
+        self.trace, self.services = around.trace, around.services
         self._rng = random.Random(f"{seed}/operators")
         around.net.zones["operators"] = around.told.zones[0]
         self._process = Process(around.loop, around.net, "operators", "operators")
         self._changes = 0
         self._versions: dict[str, int] = {}
+        self._used: dict[str, set[int]] = {}  # all versions that orders were sent under, by route
         self.acknowledged: list[Callable[[], None]] = []  # called once, at the next acknowledgement
+        self.sent: list[Callable[[], None]] = []  # called once, at the next sending of a sound change
+        self.lost_acks = LostAcks()
+        self.history: list[Change] = []  # sound changes that were acknowledged, the oldest first
+        self.answered_by: Address | None = None  # who answered an order last
+        self.troubles = OrderTroubles(self, random.Random(f"{seed}/order troubles"))
+        self._lots = random.Random(f"{seed}/lost acks")
         self.until = 0
 
     def begin(self, until: int) -> None:
@@ -253,15 +275,15 @@
         ]
         limits = {"HeaderMaxBytes": 16384, "BodyMaxBytes": 67108864, "Revision": "r1"}
         routes = [(name, (route.service,)) for name, route in told.route.items()]
-        self._send(routes, plants=plants, limits=limits)
+        self.send(routes, plants=plants, limits=limits)
         if told.operators.every:
-            self._loop.after(5 * S, self._next)
+            self.loop.after(5 * S, self._next)
 
     def _next(self) -> None:
         told = self._around.told.operators
-        if self._loop.now >= self.until:
+        if self.loop.now >= self.until:
             return
-        self._loop.after(int(self._rng.uniform(0.5, 1.5) * int(told.every)), self._next)
+        self.loop.after(int(self._rng.uniform(0.5, 1.5) * int(told.every)), self._next)
         self._change()
         if self._rng.random() < told.race:
             self._change()
@@ -269,39 +291,46 @@
     def change(self) -> None:
         """One that is sound."""
         name = self._rng.choice(list(self._around.told.route))
-        self._send([(name, (self._rng.choice(self._around.services),))])
+        self.send([(name, (self._rng.choice(self._around.services),))])
 
     def _change(self) -> None:
         rng, told = self._rng, self._around.told
         if rng.random() < float(told.operators.invalid):
-            self._send([(rng.choice(list(told.route)), ("nobody",))], sound=False)
+            self.send([(rng.choice(list(told.route)), ("nobody",))], sound=False)
             return
         what = rng.random()
         if what < 0.5:
             name = f"x{rng.randrange(3)}"
-            self._send([(name, (rng.choice(self._around.services),) if rng.random() < 0.6 else ())])
+            self.send([(name, (rng.choice(self._around.services),) if rng.random() < 0.6 else ())])
         else:
             name = rng.choice(list(told.route))
             count = min(len(self._around.services), rng.choice((1, 1, 2)))
-            self._send([(name, tuple(rng.sample(self._around.services, count)))])
+            self.send([(name, tuple(rng.sample(self._around.services, count)))])
 
-    def _send(
+    def send(
         self,
         routes: Iterable[tuple[str, tuple[str, ...]]],
         plants: list[dict[str, object]] | None = None,
         limits: dict[str, object] | None = None,
         sound: bool = True,
-    ) -> None:
+        version: int = 0,
+        removed_plants: Sequence[tuple[str, int]] = (),
+        avoid: Address | None = None,
+        done: Callable[[Change], None] | None = None,
+    ) -> Change:
+        """`version`: of all its routes, in place of the next one of each; `avoid`: a machine that the first
+        try does not go to; `done`: called once it is acknowledged."""
         paths: list[dict[str, object]] = []
         removed: list[dict[str, object]] = []
         items: list[tuple[str, int, tuple[str, ...]]] = []
         for name, services in routes:
-            version = self._versions.get(name, 0) + self._rng.randint(1, 3)
+            number = version or self.next_version(name)
             if sound:
-                self._versions[name] = version
-            items.append((name, version, services))
+                self._versions[name] = max(number, self._versions.get(name, 0))
+            items.append((name, number, services))
+            self._used.setdefault(name, set()).add(number)
             if not services:
-                removed.append({"Name": name, "Revision": f"r{version}"})
+                removed.append({"Name": name, "Revision": f"r{number}"})
                 continue
             told = self._around.told.route.get(name)
             path: dict[str, object] = {
@@ -312,7 +341,7 @@
                 "Setpoint": f"{(int(told.aim) if told else 300 * MS) // MS}ms",
                 "Priority": 1,
                 "MaxAttempts": told.attempts if told else 2,
-                "Revision": f"r{version}",
+                "Revision": f"r{number}",
             }
             if len(services) == 1:
                 path["Plant"] = services[0]
@@ -324,46 +353,91 @@
             call["Plants"] = plants
         if limits is not None:
             call["Limits"] = limits
-        body = json.dumps({"Apply": call, "Remove": {"Routes": removed}}).encode()
+        remove: dict[str, object] = {"Routes": removed}
+        if removed_plants:
+            remove["Plants"] = [{"Name": name, "Revision": f"r{number}"} for name, number in removed_plants]
+        body = json.dumps({"Apply": call, "Remove": remove}).encode()
         self._changes += 1
-        change = Change(self._changes, body, items, sound)
-        for name, version, services in items:
-            self._around.trace("offers", change.number, name, version, services, sound)
+        change = Change(self._changes, body, items, sound, avoid=avoid, done=done)
+        for name, number, services in items:
+            self.trace("offers", change.number, name, number, services, sound)
+        self._try(change)
+        if sound:
+            _call_all(self.sent)
+        return change
+
+    def next_version(self, name: str) -> int:
+        return self._versions.get(name, 0) + self._rng.randint(1, 3)
+
+    def version_of(self, name: str) -> int:
+        return self._versions.get(name, 0)
+
+    def used_versions(self, name: str) -> set[int]:
+        return self._used.get(name, set())
+
+    def note_version(self, name: str, number: int) -> None:
+        self._versions[name] = number
+
+    def resend(self, change: Change) -> None:
+        """An order that was acknowledged is sent again, unchanged."""
+        self.trace("resends", change.number)
+        change.tries = change.odd = 0
         self._try(change)
 
     def _try(self, change: Change) -> None:
         change.tries += 1
         addresses = self._around.controls(int(self._around.told.operators.late))
+        avoided = [*change.unheard, change.avoid] if change.tries == 1 else change.unheard
+        address = self._rng.choice([one for one in addresses if one not in avoided] or addresses)
         data = message(
             "POST /v1/rpc?call=config.amend HTTP/1.1",
             {"Host": "core", "Content-Type": "application/json"},
             change.body,
         )
-        Call(self._process, self._rng.choice(addresses), data, partial(self._ended, change), S)
+        self.trace("sends", change.number, address[0])
+        change.address = address
+        Call(self._process, address, data, partial(self._ended, change, address), S)
 
-    def _ended(self, change: Change, heard: Heard | None, why: str) -> None:
+    def _ended(self, change: Change, address: Address, heard: Heard | None, why: str) -> None:
         status = heard.status if heard is not None else 0
-        self._around.trace("said", change.number, status)
+        self.trace("said", change.number, status)
+        if heard is not None:
+            self.answered_by = address
+        if status == 200 and self._ack_is_lost():
+            self.trace("ack lost", change.number)
+            change.unheard.append(address)
+            status = 0
         if status == 200:
-            self._around.trace("acked", change.number)
-            waiting, self.acknowledged = self.acknowledged, []
-            for do in waiting:
-                do()
+            self._acknowledged(change)
             return
         if 400 <= status < 500 and status not in (408, 429):
             change.odd += 1
             if status in (400, 409, 412, 413, 422) or change.odd >= 3:
                 return
         pause = min(S, 50 * MS << min(change.tries, 5))
-        self._loop.after(pause, partial(self._try, change))
+        self.loop.after(pause, partial(self._try, change))
+
+    def _ack_is_lost(self) -> bool:
+        lost = self.lost_acks
+        return self.loop.now < lost.until and self._lots.random() < lost.share
+
+    def _acknowledged(self, change: Change) -> None:
+        self.trace("acked", change.number)
+        if change.sound and not change.acked:
+            self.history.append(change)
+        change.acked = True
+        _call_all(self.acknowledged)
+        done, change.done = change.done, None
+        if done is not None:
+            done(change)
 
     def read(self, again: int) -> None:
         """Read back, for so long again and again."""
-        first = self._loop.now
+        first = self.loop.now
 
         def ask() -> None:
             data = message("POST /v1/rpc?call=config.read HTTP/1.1", {"Host": "core"})
-            address, since = self._rng.choice(self._around.controls(0)), self._loop.now
+            address, since = self._rng.choice(self._around.controls(0)), self.loop.now
             Call(self._process, address, data, partial(done, since), S)
 
         def done(since: int, heard: Heard | None, why: str) -> None:
@@ -375,10 +449,17 @@
                         held.append(
                             (path["Name"], int(path["Revision"][1:]), tuple(split or [path["Plant"]]))
                         )
-                self._around.trace("read", tuple(held), since)
+                self.trace("read", tuple(held), since)
             else:
-                self._around.trace("unread", heard.status if heard is not None else why)
-            if self._loop.now - first < again:
-                self._loop.after(300 * MS, ask)
+                self.trace("unread", heard.status if heard is not None else why)
+            if self.loop.now - first < again:
+                self.loop.after(300 * MS, ask)
 
         ask()
+
+
+def _call_all(waiting: list[Callable[[], None]]) -> None:
+    """Each is called once; whoever wants to be called again puts itself in again."""
+    called, waiting[:] = list(waiting), []
+    for do in called:
+        do()
--- a/brackengate/emulator/mesh/scenario.py
+++ b/brackengate/emulator/mesh/scenario.py
@@ -15,8 +15,13 @@
 Kinds = Literal[
     "kill", "term", "power", "wipe", "freeze", "cut", "stall", "full", "clock", "seeds",
     "replace", "crash", "reuse", "close", "reset", "loss",
+    "replace_core", "ack_lost", "reset_conns", "bad_order", "config_race", "resend", "overtaken_order",
 ]  # fmt: skip
-LASTING = ("kill", "power", "wipe", "freeze", "cut", "stall", "full", "loss")  # `lasts` is needed
+OrderKinds = Literal["same_version", "old_version", "unknown_service", "stale_match"]
+LASTING = (  # `lasts` is needed
+    "kill", "power", "wipe", "freeze", "cut", "stall", "full", "loss", "ack_lost", "reset_conns",
+)  # fmt: skip
+AFTER_A_CHANGE = ("ack", "sent")  # values of `after` that send a change of their own
 STRIKES = {  # what a kind may strike: machines of the core, with pilots, all
     "kill": "lp",
     "term": "p",
@@ -34,8 +39,17 @@
     "close": "",
     "reset": "lp",
     "loss": "",
+    "replace_core": "l",
+    "ack_lost": "",
+    "reset_conns": "lp",
+    "bad_order": "",
+    "config_race": "",
+    "resend": "",
+    "overtaken_order": "",
 }
-MACHINE = re.compile(r"(?:[lp][0-9]{1,4}|head|middle|tail|core|pilots)")
+ORDERS = ("ack_lost", "bad_order", "config_race", "resend", "overtaken_order")  # what strikes orders
+MACHINE = re.compile(r"(?:[lp][0-9]{1,4}|head|middle|tail|core|pilots|acker|lot)")
+ALLOWED = "l0, p0, head, middle, tail, core, pilots, acker, lot"
 
 
 class Core(Section, frozen=True, kw_only=True):
@@ -90,17 +104,26 @@
 
 
 class Fault(Section, frozen=True, kw_only=True):
-    at: Annotated[Duration, Bounds(0, 24 * 3600 * S)]
+    at: Annotated[Duration, Bounds(0, 30 * 24 * 3600 * S)]
     kind: Kinds
-    on: tuple[str, ...] = ()  # machines: l0, p3; head, middle, tail; core, pilots.  Of `close`: none
+    on: tuple[str, ...] = ()  # machines: l0, p3; head, middle, tail; core, pilots; acker (it answered an
+    # order last); lot (a core machine drawn by lot).  Of `close` and what strikes orders: none
     to: tuple[str, ...] = ()  # of `cut`: from whom; none: from all others.  With `after`: whom it strikes
     lasts: Annotated[Duration, Bounds(0, 3600 * S)] = Duration(0)
     one_way: bool = False  # of `cut`: what `to` says still comes
     by: Annotated[Duration, Bounds(0, 3600 * S)] = Duration(5 * S)  # of `clock`
-    part: Part = 0.05  # of `loss`: of what is sent, which comes late
+    part: Part = 0.05  # of `loss`: of what is sent, which comes late; of `ack_lost`: of the
+    # acknowledgements to the operators, which are lost; of `reset_conns`: of a machine's connections
     back: bool = False  # of `clock`: it goes behind
-    after: Literal["", "sync", "ack"] = ""  # waits for the next commit of a claim there, or the next
-    # acknowledgement of a configuration
+    after: Literal["", "sync", "ack", "sent"] = ""  # waits for the next commit of a claim there, or the
+    # next acknowledgement of a configuration; `sent`: `wait` after a configuration was sent
+    wait: Annotated[Duration, Bounds(0, S)] = Duration(0)  # of `sent`; 0: drawn, 5 to 400 ms
+    planned: bool = False  # of `replace_core`: the new machine comes first, then the old one gets SIGTERM
+    seeds_first: bool = False  # of `cut`: the seeds of later starts begin with the machines cut off
+    restart: Literal["", "others", "both"] = ""  # of `cut`: who is restarted meanwhile: a share of the
+    # machines that are not cut off; those that are cut off and then the other core machines
+    order: OrderKinds = "same_version"  # of `bad_order`
+    count: Annotated[int, Bounds(1, 100)] = 1  # of orders, pairs of orders, or orders sent again
     how: Literal["power", "kill", "wipe"] = "power"  # of `close`
     every: Annotated[Duration, Bounds(0, 3600 * S)] = Duration(0)  # again and again, to the end
 
@@ -156,7 +179,7 @@
     for where, names in (("on", one.on), ("to", one.to)):
         for name in names:
             if MACHINE.fullmatch(name) is None:
-                yield (where,), f"{name!r} is no machine; allowed: l0, p0, head, middle, tail, core, pilots"
+                yield (where,), f"{name!r} is no machine; allowed: {ALLOWED}"
             elif name[1:].isdigit() and int(name[1:]) >= (cores if name[0] == "l" else all_pilots):
                 yield (where,), f"there is no {name}; there are {cores} of the core and {all_pilots} pilots"
             elif where == "on" and _kind_of(name) not in STRIKES[one.kind]:
@@ -167,6 +190,8 @@
         yield ("lasts",), f"is missing: {one.kind} has an end"
     if one.after and one.kind not in ("power", "kill", "wipe", "close"):
         yield ("after",), f"{one.kind} waits for nothing"
+    if one.kind == "replace_core" and not told.core.spare:
+        yield ("kind",), "replace_core needs a machine that takes the place: core.spare is 0"
 
 
 def _kind_of(name: str) -> str:
--- a/brackengate/emulator/mesh/world.py
+++ b/brackengate/emulator/mesh/world.py
@@ -78,7 +78,8 @@
         if self.core:
             light = Lighthouse(settings, ground, EmulatedDrive(self.disk, process))
             self.role = light
-            process.create_task(light.run())
+            task = process.create_task(light.run())
+            task.add_done_callback(lambda _: world.loop.after(0, partial(self._left, process)))
         else:
             pilot = Pilot(settings, lambda: parse(world.settings(self, False)), ground)
             self.role = pilot
@@ -100,7 +101,7 @@
     def term(self) -> None:
         """As the platform stops it: SIGTERM, and SIGKILL after `Grace`; then it starts again."""
         process = self.process
-        if not process.alive or not isinstance(self.role, Pilot):
+        if not process.alive or self.role is None:
             return
         self.world.trace("term", self.name)
         process.enter(self.role.stop)
@@ -215,6 +216,13 @@
         self._lists.append((self.loop.now, now))
         self.seeds = [machine.name for machine in now[:3]]
 
+    def put_seeds_first(self, names: list[str]) -> None:
+        """The seeds of later starts begin with these."""
+        self.seeds = list(dict.fromkeys([*names, *self.seeds]))[:3]
+
+    def machine_at(self, address: Address) -> Machine:
+        return next(one for one in self.core if one.ip == address[0])
+
     def seats(self) -> list[str]:
         """The core from the head to the tail, for faults that strike a seat."""
         views = [
