--- a/brackengate/emulator/mesh/checks.py
+++ b/brackengate/emulator/mesh/checks.py
@@ -13,6 +13,7 @@
 from brackengate.emulator.checks import Broken, Record
 from brackengate.emulator.mesh import order_checks
 from brackengate.emulator.mesh.scenario import Limits
+from brackengate.emulator.mesh.versions import NO_VERSION, RouteVersions, Version
 
 PROMISES = (408, 421, 429, 503)
 PLANNED = ("term", "left")
@@ -34,15 +35,6 @@
     sent: str
 
 
-@dataclass(slots=True)
-class Version:
-    number: int
-    services: tuple[str, ...]  # none: dropped
-    offered: int
-    sound: bool
-    acked: int | None = None
-
-
 @dataclass(slots=True)
 class _State:
     down: set[str] = field(default_factory=set)
@@ -152,6 +144,7 @@
         self.done: dict[str, tuple[str, str, str]] = {}  # by seal: upstream, attempt, body
         self.ended: list[tuple[int, str, object, str, str, bool]] = []
         self.versions: dict[str, list[Version]] = defaultdict(list)
+        self._of_route: dict[str, RouteVersions] = {}
         self.calls: dict[int, list[Version]] = defaultdict(list)
         self.drains: dict[str, tuple[int, str]] = {}
         self.home: dict[str, str] = {}  # of upstreams
@@ -205,13 +198,17 @@
     def may(self, route: str, sent: int, until: int) -> list[Version]:
         """The versions that may be in force for a request on a calm machine; version 0: none."""
         apply_time = int(self.limits.apply_time)
-        known = [one for one in self.versions[route] if one.sound and one.offered <= until]
-        least = max(
-            (one.number for one in known if one.acked is not None and one.acked + apply_time <= sent),
-            default=0,
-        )
-        found = [one for one in known if one.number >= least]
-        return found if least else [*found, Version(0, (), 0, True)]
+        versions = self.of_route(route)
+        least = versions.highest_acked(sent - apply_time)
+        found = versions.offered_from(least, until)
+        return found if least else [*found, NO_VERSION]
+
+    def of_route(self, route: str) -> RouteVersions:
+        """Its versions; asked for only when all is recorded."""
+        found = self._of_route.get(route)
+        if found is None:
+            found = self._of_route[route] = RouteVersions(self.versions[route])
+        return found
 
 
 def in_force(same: Iterable[Version]) -> list[Version]:
@@ -314,9 +311,7 @@
     broken = Broken("ROUTE")
     for when, upstream, plant, attempt, _, _, _ in seen.ran:
         asked = seen.asked.get(attempt)
-        if asked is not None and not any(
-            plant in one.services for one in seen.versions[asked.route] if one.sound and one.offered <= when
-        ):
+        if asked is not None and seen.of_route(asked.route).allowing(plant).until(when) is None:
             broken.at(when, f"{attempt} on {asked.route} runs at {upstream} of {plant}")
     return broken
 
@@ -349,16 +344,12 @@
     shown: dict[tuple[str, int, str], tuple[int, int]] = {}  # life and route: least version shown, and when
     for when, attempt, plant, ran in sorted(handled):
         asked = seen.asked[attempt]
-        allows = [
-            one
-            for one in (*seen.versions[asked.route], Version(0, (), 0, True))
-            if one.sound and one.offered <= when and (plant in one.services if ran else not one.services)
-        ]
-        if not allows:
+        allows = seen.of_route(asked.route).allowing(plant if ran else "").until(when)
+        if allows is None:
             if not ran and seen.calm(asked.ip, asked.at, when):
                 broken.at(when, f"{attempt} on {asked.route} is answered 404")
             continue
-        newest, least = max(one.number for one in allows), min(one.number for one in allows)
+        least, newest = allows
         may = {one.number for one in seen.may(asked.route, asked.at, when)}
         if newest < min(may) and seen.calm(asked.ip, asked.at, when):
             what = f"runs at {plant}" if ran else "is answered 404"
--- a/brackengate/emulator/mesh/order_checks.py
+++ b/brackengate/emulator/mesh/order_checks.py
@@ -6,13 +6,13 @@
 from __future__ import annotations
 
 from bisect import bisect_right
-from collections import defaultdict
 from typing import TYPE_CHECKING
 
 from brackengate.emulator.checks import Broken
 
 if TYPE_CHECKING:
-    from brackengate.emulator.mesh.checks import Seen, Version
+    from brackengate.emulator.mesh.checks import Seen
+    from brackengate.emulator.mesh.versions import Version
 
 OK = 200
 REFUSALS = (400, 409, 412, 413, 422)  # answers on which the operator gives an order up
@@ -59,33 +59,20 @@
     In touch or not: until it holds a configuration at least that new, it must not be ready.
     """
     broken = Broken("CONFIG")
-    acked: dict[str, list[tuple[int, int]]] = defaultdict(list)  # by route: when, and the highest version
-    for route, versions in seen.versions.items():
-        highest = 0
-        for one in sorted((v for v in versions if v.sound and v.acked), key=lambda v: v.acked or 0):
-            highest = max(highest, one.number)
-            acked[route].append((one.acked or 0, highest))
     for when, _, plant, attempt, _, _, _ in seen.ran:
         asked = seen.asked.get(attempt)
-        if asked is None or not acked[asked.route]:
+        if asked is None:
             continue
         lives = seen.lives[seen.names[asked.ip]]
         life = bisect_right(lives, asked.at)
         if not life:
             continue
-        least = _highest_before(acked[asked.route], lives[life - 1])
-        allows = [
-            one.number for one in seen.versions[asked.route] if one.sound and plant in one.services
-        ]  # fmt: skip
-        if allows and max(allows) < least:
+        versions = seen.of_route(asked.route)
+        least, allows = versions.highest_acked(lives[life - 1]), versions.allowing(plant).until(when)
+        if allows is not None and allows[1] < least:
             broken.at(
                 when,
-                f"{attempt} on {asked.route} runs at {plant}, as only version {max(allows)} has it; version"
+                f"{attempt} on {asked.route} runs at {plant}, as only version {allows[1]} has it; version"
                 f" {least} was acknowledged before its proxy started",
             )
     return broken
-
-
-def _highest_before(acked: list[tuple[int, int]], when: int) -> int:
-    at = bisect_right(acked, (when, 1 << 62))
-    return acked[at - 1][1] if at else 0
--- a/brackengate/emulator/mesh/people.py
+++ b/brackengate/emulator/mesh/people.py
@@ -20,7 +20,6 @@
 HOST = "h.example"
 MOST_TRIES = 4
 PAUSE = 30 * MS  # before a try that nobody said when to make, doubled
-PROBES = 1.0  # a second, straight to random pilots, on routes that come and go
 LOOK = S  # the platform asks a pilot whether it is ready
 PROMISES = (408, 421, 429, 503)
 
@@ -146,7 +145,7 @@
                         Asked(self._numbers, name, "probe", 10 * MS, 300 * MS, side, now, now + 500 * MS)
                     )
 
-        self._loop.after(int(self._rng.expovariate(PROBES) * 1e6), comes)
+        self._loop.after(int(self._rng.expovariate(self._around.told.operators.probes) * 1e6), comes)
 
     def _try(self, asked: Asked) -> None:
         asked.tries += 1
--- a/brackengate/emulator/mesh/scenario.py
+++ b/brackengate/emulator/mesh/scenario.py
@@ -83,6 +83,7 @@
     race: Part = 0.3  # of the changes: both operators change the same route at once
     invalid: Part = 0.1
     late: Annotated[Duration, Bounds(0, 60 * S)] = Duration(3 * S)  # their list of lighthouses
+    probes: Annotated[float, Bounds(0.001, 100.0)] = 1.0  # a second, on routes that come and go
 
 
 class Limits(Section, frozen=True, kw_only=True):
@@ -125,7 +126,7 @@
     order: OrderKinds = "same_version"  # of `bad_order`
     count: Annotated[int, Bounds(1, 100)] = 1  # of orders, pairs of orders, or orders sent again
     how: Literal["power", "kill", "wipe"] = "power"  # of `close`
-    every: Annotated[Duration, Bounds(0, 3600 * S)] = Duration(0)  # again and again, to the end
+    every: Annotated[Duration, Bounds(0, 24 * 3600 * S)] = Duration(0)  # again and again, to the end
 
 
 class MeshScenario(Section, frozen=True, kw_only=True):
