--- a/brackengate/emulator/mesh/faults.py
+++ b/brackengate/emulator/mesh/faults.py
@@ -256,10 +256,11 @@
 
 
 def _spare(world: World, old: Machine) -> Machine | None:
-    """An empty machine that may take the place of this one, if it still has one."""
+    """An empty machine that may take the place of this one, if it still has one: the longest unused one."""
     if old not in world.listed():
         return None
-    return next((one for one in world.core if one not in world.listed() and not one.process.alive), None)
+    free = [one for one in world.core if one not in world.listed() and not one.process.alive]
+    return min(free, key=lambda one: one.gone_at, default=None)
 
 
 def _comes_new(spare: Machine) -> None:
@@ -273,12 +274,12 @@
 def _goes_for_good(world: World, old: Machine) -> None:
     old.lose_power(wipe=True)
     world.trace("removed", old.name)
-    old.gone = True
+    old.gone, old.gone_at = True, world.loop.now
 
 
 def _stops_for_good(world: World, old: Machine) -> None:
     """SIGTERM, then its disk goes with it."""
-    old.gone = True
+    old.gone, old.gone_at = True, world.loop.now
     old.term()
     world.trace("removed", old.name)
 
--- a/brackengate/emulator/mesh/world.py
+++ b/brackengate/emulator/mesh/world.py
@@ -40,7 +40,8 @@
         self.off = 0  # of its time of day, as its next process sees it
         self.offered = False  # whether clients come to its pilot
         self.used = False  # it has been started
-        self.gone = False  # for good
+        self.gone = False  # for good, or until it comes as another machine
+        self.gone_at = -1  # when it went last
         self.powered = True
         self.upstream: Upstream | None = None
         self.role: Pilot | Lighthouse | None = None
