Split the fleet's supervisor: listeners, processes and history on their own

Found in it: a process for which no descriptor was left was sent its SIGKILL through that descriptor, so never, and the supervisor then waited for its end.

--- a/brackengate/fleet/supervisor.py
+++ b/brackengate/fleet/supervisor.py
@@ -9,7 +9,6 @@
 import asyncio
 import contextlib
 import fcntl
-import json
 import logging
 import os
 import random
@@ -23,12 +22,13 @@
 
 import msgspec
 
-from brackengate.fleet import activation, control, keeper
+from brackengate.fleet import activation, control, history, keeper
+from brackengate.fleet.listeners import Listeners
 from brackengate.fleet.notify import Notifier
+from brackengate.fleet.processes import Processes, Start, Unwatchable
 from brackengate.installation import settings as derived
 from brackengate.installation.reading import BadFile, loads, read_text
 from brackengate.installation.schema import File
-from brackengate.net.sockets import bind, parse_address
 
 log = logging.getLogger("brackengate.fleet")
 
@@ -39,9 +39,6 @@
     keeper.Word.REPLACED: signal.SIGUSR2,
     keeper.Word.KILL: signal.SIGKILL,
 }
-PIPE_HOLDS = 60_000  # of text, without asking for a larger pipe
-
-Listener = tuple[str, int]  # name, and the slot that it is for; -1: all
 
 
 class Taken(Exception):
@@ -64,12 +61,11 @@
         self.dir = control.runtime_dir(file.fleet.runtime_dir, file.installation.name)
         self._lock = self._take_lock()
         seed = random.SystemRandom().getrandbits(64)
-        history = self._read_history()
-        self.keeper = keeper.Keeper(rules(file), seed, int(history.get("generation", 0)))
-        self._restore(history)
-        self._sockets: dict[Listener, socket.socket] = {}
-        self._pidfds: dict[int, int] = {}
-        self._children: set[int] = set()
+        before = history.read(self.dir)
+        self.keeper = keeper.Keeper(rules(file), seed, history.generation(before))
+        history.restore(before, self.keeper.slots)
+        self._listeners = Listeners()
+        self._processes = Processes(self._loop, self._ended)
         self._timer: asyncio.TimerHandle | None = None
         self._askers: list[asyncio.Queue[dict[str, Any]]] = []  # who await a roll
         self._stopped = asyncio.Event()
@@ -84,7 +80,7 @@
         self._notices = self._open_notices()
         await self._take_over()
         try:
-            self._bind()
+            self._listeners.open(self.file)
         except OSError as error:
             raise CannotStart(str(error)) from None
         self._control = control.ControlServer(self.dir / "control.sock", self._asked)
@@ -98,8 +94,7 @@
         self._control.close()
         self._loop.remove_reader(self._notices.fileno())
         self._notices.close()
-        for sock in self._sockets.values():
-            sock.close()
+        self._listeners.close()
         if self._timer is not None:
             self._timer.cancel()
         for name in ("notify.sock", "lock"):
@@ -165,58 +160,16 @@
             status = await client.ask({"op": "status"}, ASK_S)
             if status["state"] != "draining":
                 told = await client.ask({"op": "sockets"}, ASK_S)
-                self._take_sockets(slot, told.get("names", []), client.fds)
+                self._listeners.adopt(self.file, slot, told.get("names", []), client.fds)
         except (OSError, EOFError, ValueError) as error:  # it hangs: the watchdog sees to it
             log.warning("instance %d (pid %d) runs and does not answer: %r", slot, pid, error)
         state = str(status["state"])
         log.info("instance %d: taken over (pid %d, %s)", slot, pid, state)
-        if self._watch_pid(pid):
+        if self._processes.watch(pid):
             started, generation = int(status["started"]), int(status["generation"])
             ready, leaving = state in ("ready", "reloading"), state == "draining"
             self._post(keeper.Adopt(slot, pid, ready, leaving, started, generation))
 
-    def _take_sockets(self, slot: int, names: Sequence[str], fds: Sequence[int]) -> None:
-        shared = {listener.name: bool(listener.address) for listener in self.file.listener}
-        for name, fd in zip(names, fds, strict=False):
-            key = (name, -1 if shared.get(name) else slot)
-            if name not in shared or key in self._sockets:
-                os.close(fd)
-            else:
-                self._sockets[key] = activation.listening(fd)
-
-    def _bind(self) -> None:
-        """Hold a socket for each address of the file.  OSError names the address that cannot be had."""
-        wanted = self._wanted(self.file)
-        for key, address in wanted.items():
-            held = self._sockets.get(key)
-            host, port = parse_address(address)
-            if held is not None and (port not in (0, held.getsockname()[1]) or held.getsockname()[0] != host):
-                held.close()
-                held = None
-            if held is not None:
-                continue
-            backlog = next(entry.backlog for entry in self.file.listener if entry.name == key[0])
-            try:
-                sock = bind((host, port))
-                sock.listen(backlog)
-            except OSError as error:
-                raise OSError(f"cannot listen on {address}: {error.strerror}") from None
-            self._sockets[key] = sock
-            where = sock.getsockname()
-            log.info("listener %s: %s:%d", key[0], where[0], where[1])
-        for key in [key for key in self._sockets if key not in wanted]:
-            self._sockets.pop(key).close()
-
-    @staticmethod
-    def _wanted(file: File) -> dict[Listener, str]:
-        wanted: dict[Listener, str] = {}
-        for listener in file.listener:
-            if listener.address:
-                wanted[listener.name, -1] = listener.address
-            for slot, address in enumerate(listener.addresses):
-                wanted[listener.name, slot] = address
-        return wanted
-
     # --- the keeper
 
     def _post(self, event: keeper.Event) -> None:
@@ -235,7 +188,7 @@
             case keeper.Spawn(slot, generation):
                 return self._spawn(slot, generation)
             case keeper.Say(pid, word):
-                self._signal(pid, SIGNALS[word])
+                self._processes.signal(pid, SIGNALS[word])
             case keeper.Report(text, slot, bad):
                 who = f"instance {slot}: " if slot >= 0 else ""
                 log.log(logging.WARNING if bad else logging.INFO, "%s%s", who, text)
@@ -265,64 +218,45 @@
 
     def _spawn(self, slot: int, generation: int) -> keeper.Event:
         try:
-            pid = self._fork(slot, generation)
+            pid = self._processes.start(self._start_of(slot, generation))
         except OSError as error:
             log.error("instance %d cannot be started: %s", slot, error)
             return keeper.SpawnFailed(slot, error.strerror or str(error))
-        self._children.add(pid)
+        except Unwatchable as error:
+            return keeper.SpawnFailed(slot, str(error))
         log.info("instance %d: started (pid %d, generation %d)", slot, pid, generation)
-        if not self._watch_pid(pid):  # out of descriptors: it could not be looked after
-            self._signal(pid, signal.SIGKILL)
-            with contextlib.suppress(ChildProcessError):
-                os.waitpid(pid, 0)
-            self._children.discard(pid)
-            return keeper.SpawnFailed(slot, "no descriptor left to watch it")
         return keeper.Spawned(slot, pid)
 
-    def _fork(self, slot: int, generation: int) -> int:
-        """Start `serve` with its sockets from descriptor 3 on and the accepted file in a pipe after them.
+    def _start_of(self, slot: int, generation: int) -> Start:
+        """`serve` with the slot's sockets and the accepted file."""
+        handed = self._listeners.of_slot(self.file, slot)
+        sets = [word for text_of in self.sets for word in ("--set", text_of)]
+        cores = sorted(os.sched_getaffinity(0))
+        return Start(
+            [sys.executable, "-m", "brackengate.cli", "serve", self.path, *sets],
+            self._environment(slot, generation, [name for (name, _), _ in handed]),
+            [sock.fileno() for _, sock in handed],
+            self._text.encode(),
+            cores[slot % len(cores)] if self.file.fleet.pin_cores else None,
+        )
 
-        LISTEN_PID has to name the process itself, which only a fork of one's own can know.
-        """
-        handed = [(key, self._sockets[key]) for key in self._wanted(self.file) if key[1] in (-1, slot)]
-        count = len(handed)
-        text = self._text.encode()
-        read_end, write_end = os.pipe()
-        try:
-            if len(text) > PIPE_HOLDS:
-                fcntl.fcntl(write_end, fcntl.F_SETPIPE_SZ, 1 << 21)
-            os.set_blocking(write_end, False)
-            if text and os.write(write_end, text) != len(text):
-                raise OSError("the file does not fit a pipe")
-            environ = {
-                **os.environ,
-                "LISTEN_FDS": str(count),
-                "LISTEN_FDNAMES": ":".join(key[0] for key, _ in handed),
-                "NOTIFY_SOCKET": str(self.dir / "notify.sock"),
-                "BRACKENGATE_SLOT": str(slot),
-                "BRACKENGATE_GENERATION": str(generation),
-                "BRACKENGATE_SUCCESSOR": "1" if self._others_accept(slot) else "0",
-                "BRACKENGATE_RUNTIME_DIR": str(self.dir),
-                "BRACKENGATE_FILE_FD": str(activation.FIRST + count),
-            }
-            environ.pop("WATCHDOG_PID", None)
-            if self.file.fleet.watchdog:
-                environ["WATCHDOG_USEC"] = str(int(self.file.fleet.watchdog) // 2)
-            else:
-                environ.pop("WATCHDOG_USEC", None)
-            sets = [word for text_of in self.sets for word in ("--set", text_of)]
-            argv = [sys.executable, "-m", "brackengate.cli", "serve", self.path, *sets]
-            fds = [sock.fileno() for _, sock in handed] + [read_end]
-            cores = sorted(os.sched_getaffinity(0))
-            core = cores[slot % len(cores)] if self.file.fleet.pin_cores else None
-            sys.stderr.flush()
-            pid = os.fork()
-            if pid == 0:
-                _become(argv, environ, fds, core)
-            return pid
-        finally:
-            os.close(read_end)
-            os.close(write_end)
+    def _environment(self, slot: int, generation: int, listeners: Sequence[str]) -> dict[str, str]:
+        environ = {
+            **os.environ,
+            "LISTEN_FDS": str(len(listeners)),
+            "LISTEN_FDNAMES": ":".join(listeners),
+            "NOTIFY_SOCKET": str(self.dir / "notify.sock"),
+            "BRACKENGATE_SLOT": str(slot),
+            "BRACKENGATE_GENERATION": str(generation),
+            "BRACKENGATE_SUCCESSOR": "1" if self._others_accept(slot) else "0",
+            "BRACKENGATE_RUNTIME_DIR": str(self.dir),
+            "BRACKENGATE_FILE_FD": str(activation.FIRST + len(listeners)),
+        }
+        environ.pop("WATCHDOG_PID", None)
+        environ.pop("WATCHDOG_USEC", None)
+        if self.file.fleet.watchdog:
+            environ["WATCHDOG_USEC"] = str(int(self.file.fleet.watchdog) // 2)
+        return environ
 
     def _others_accept(self, slot: int) -> bool:
         """Whether the sockets of a slot are accepted from while its new process is not ready."""
@@ -331,39 +265,12 @@
             and any(row.state == "ready" for row in self.keeper.rows())
         )
 
-    def _watch_pid(self, pid: int) -> bool:
-        """Hear of a process's end, also where it is not a child (pidfd_open(2))."""
-        try:
-            fd = os.pidfd_open(pid)
-        except OSError as error:
-            log.warning("pid %d cannot be watched: %s", pid, error)
-            return False
-        self._pidfds[pid] = fd
-        self._loop.add_reader(fd, self._ended, pid)
-        return True
-
-    def _ended(self, pid: int) -> None:
-        fd = self._pidfds.pop(pid)
-        self._loop.remove_reader(fd)
-        os.close(fd)
-        how = "gone (started by an earlier supervisor)"
-        if pid in self._children:
-            self._children.discard(pid)
-            _, status = os.waitpid(pid, 0)
-            code = os.waitstatus_to_exitcode(status)
-            how = f"signal {signal.Signals(-code).name}" if code < 0 else f"exit {code}"
+    def _ended(self, pid: int, how: str) -> None:
         for path in self.dir.glob(f"i-*-{pid}.sock"):
             path.unlink(missing_ok=True)
         log.info("pid %d: %s", pid, how)
         self._post(keeper.Exited(pid, how))
 
-    def _signal(self, pid: int, number: signal.Signals) -> None:
-        fd = self._pidfds.get(pid)
-        if fd is None:
-            return  # it has ended: its number may be another's by now
-        with contextlib.suppress(ProcessLookupError):
-            signal.pidfd_send_signal(fd, number)
-
     def _notified(self) -> None:
         for _ in range(64):
             try:
@@ -413,7 +320,7 @@
             raise BadFile(self.path, []) from ValueError(keys)
         self.file = file
         try:
-            self._bind()
+            self._listeners.open(file)
         except OSError:
             self.file = old
             raise
@@ -440,33 +347,13 @@
             return {"error": wrong}
         for process in list(self.keeper.processes.values()):
             if process.phase in (keeper.Phase.STARTING, keeper.Phase.READY) and process.heard:
-                self._signal(process.pid, signal.SIGHUP)
+                self._processes.signal(process.pid, signal.SIGHUP)
         return {"ok": True, "needs_restart": needs}
 
-    def _read_history(self) -> dict[str, Any]:
-        try:
-            history = json.loads((self.dir / "state.json").read_text())
-            return history if isinstance(history, dict) else {}
-        except (OSError, ValueError):
-            return {}
-
-    def _restore(self, history: dict[str, Any]) -> None:
-        for text, kept in (history.get("slots") or {}).items():
-            slot = self.keeper.slots.get(int(text)) if text.isdigit() else None
-            if slot is not None and isinstance(kept, dict):
-                slot.last_exit, slot.restarts = str(kept.get("last_exit", "")), int(kept.get("restarts", 0))
-
     def _write_history(self) -> None:
-        """Beside, then in place.  Where the disk is full the fleet goes on, and the status says so."""
-        slots = {
-            str(slot.number): {"last_exit": slot.last_exit, "restarts": slot.restarts}
-            for slot in self.keeper.slots.values()
-        }
-        data = json.dumps({"generation": self.keeper.generation, "slots": slots})
-        path = self.dir / "state.json"
+        """Where the disk is full the fleet goes on, and the status says so."""
         try:
-            path.with_suffix(".new").write_text(data)
-            path.with_suffix(".new").rename(path)
+            history.write(self.dir, self.keeper.generation, self.keeper.slots)
         except OSError as error:
             self.state_errors += 1
             log.warning("the state file cannot be written: %s", error)
@@ -577,23 +464,3 @@
         crash_limit=fleet.crash_limit,
         crash_window=int(fleet.crash_window),
     )
-
-
-def _become(argv: list[str], environ: dict[str, str], fds: list[int], core: int | None) -> None:
-    """In the child: descriptors to 3, 4, ..., then the program.  Never returns."""
-    try:
-        os.setsid()  # the terminal's Ctrl-C is the supervisor's to pass on
-        if core is not None:
-            os.sched_setaffinity(0, {core})
-        base = activation.FIRST + len(fds)
-        high = [fcntl.fcntl(fd, fcntl.F_DUPFD_CLOEXEC, base) for fd in fds]
-        for step, fd in enumerate(high):
-            os.dup2(fd, activation.FIRST + step, inheritable=True)
-        null = os.open(os.devnull, os.O_RDONLY)
-        os.dup2(null, 0)
-        environ["LISTEN_PID"] = str(os.getpid())
-        os.execve(argv[0], argv, environ)
-    except BaseException as error:
-        os.write(2, f"brackengate: cannot start {argv[0]}: {error}\n".encode())
-    finally:
-        os._exit(127)
