Move the commands out of the log's chain, with typed results

Cause: chain.py held the waiting commands and the head's decisions beside the log, and results were maps told apart by their keys. Change: lighthouse/commands.py holds both, pure; words.py has a tagged struct for each result, and the pilots, operators' commands, the operators' door and the model check read those. The tests that read maps read the structs; they check the same values.

--- a/brackengate/bridge/ask.py
+++ b/brackengate/bridge/ask.py
@@ -6,16 +6,18 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
-import msgspec
-
 from brackengate.net.sockets import Address, parse_address
 from brackengate.signals.lines import Lines
 from brackengate.signals.words import (
     Amend,
+    CommandResult,
+    Configuration,
     Explain,
+    Followers,
     Follows,
     Held,
     Inquire,
+    InquiryResult,
     Items,
     Leave,
     Line,
@@ -31,6 +33,7 @@
 CHAIN_S = 14.0  # of the chain: a lighthouse gives up after 12 s
 ROUNDS = 3  # members name members: a core that is being exchanged is known after as many
 Question = Stand | Held | Leave | Rejoin | Explain | Amend | Read
+QuestionResult = CommandResult | InquiryResult | None
 
 
 class Unanswered(Exception):
@@ -41,10 +44,10 @@
         self.peer, self.why = peer, why
 
 
-async def ask(address: Address, what: Question, within_s: float = ANSWER_S) -> Any:
+async def ask(address: Address, what: Question, within_s: float = ANSWER_S) -> QuestionResult:
     """The answer; `Unanswered` where there is none."""
     loop = asyncio.get_running_loop()
-    answer: asyncio.Future[Any] = loop.create_future()
+    answer: asyncio.Future[QuestionResult] = loop.create_future()
     name = type(what).__name__.lower()
 
     def on_line(lines: Lines, word: Line) -> None:
@@ -83,8 +86,11 @@
         return parse_address(member)[0], self._port
 
     async def first(
-        self, what: Question, within_s: float = ANSWER_S, good: Callable[[Any], str] = lambda _: ""
-    ) -> Any:
+        self,
+        what: Question,
+        within_s: float = ANSWER_S,
+        good: Callable[[QuestionResult], str] = lambda _: "",
+    ) -> QuestionResult:
         """The first answer that will do; a group of `Unanswered` where there is none.
 
         `good`: why an answer will not do; empty: it does.
@@ -115,7 +121,8 @@
                 elif isinstance(answer, BaseException):
                     raise answer
                 else:
-                    found[address] = msgspec.convert(answer, Standing)
+                    assert isinstance(answer, Standing)
+                    found[address] = answer
             known = {
                 self.address(addr)
                 for one in found.values()
@@ -135,28 +142,34 @@
     async def items(self) -> Items:
         """The operator's items, by a lighthouse that is in touch with the others."""
 
-        def good(answer: Any) -> str:
-            return "" if answer["serves"] else "it is out of touch with the others"
+        def good(answer: QuestionResult) -> str:
+            serves = isinstance(answer, Items) and answer.serves
+            return "" if serves else "it is out of touch with the others"
 
-        return msgspec.convert(await self.first(Held(), good=good), Items)
+        found = await self.first(Held(), good=good)
+        assert isinstance(found, Items)
+        return found
 
-    async def of_members(self, what: Question, members: Sequence[str]) -> list[Any]:
+    async def of_members(self, what: Question, members: Sequence[str]) -> list[QuestionResult]:
         """The answers of those who answer."""
         asked = (ask(self.address(member), what) for member in members)
         answers = await asyncio.gather(*asked, return_exceptions=True)
         return [answer for answer in answers if not isinstance(answer, BaseException)]
 
-    async def amend(self, body: bytes) -> Any:
+    async def amend(self, body: bytes) -> QuestionResult:
         """Through the chain; asked again elsewhere where its fate is not known, which does no harm."""
         return await self.first(Amend(body.decode()), CHAIN_S, _agreed)
 
-    async def read(self) -> Any:
-        return await self.first(Read(), CHAIN_S, _agreed)
+    async def read(self) -> dict[str, Any]:
+        found = await self.first(Read(), CHAIN_S, _agreed)
+        assert isinstance(found, Configuration)
+        return found.content
 
     async def explain(self, attempt: str, members: Sequence[str]) -> list[Follows]:
         answers = await self.of_members(Explain(attempt), members)
-        return [one for answer in answers for one in msgspec.convert(answer, list[Follows])]
+        told = [answer for answer in answers if isinstance(answer, Followers)]
+        return [one for answer in told for one in answer.pilots]
 
 
-def _agreed(answer: Any) -> str:
+def _agreed(answer: QuestionResult) -> str:
     return "the core did not agree in time" if answer is None else ""
--- a/brackengate/bridge/commands.py
+++ b/brackengate/bridge/commands.py
@@ -207,6 +207,7 @@
 async def _bring_in(bridge: Bridge, call: bytes, wait: float, as_json: bool) -> int:
     """Check a call, send it, and wait for the pilots."""
     from brackengate.bridge.changes import compare, effective, items_of, sound
+    from brackengate.signals.words import CommandDone
 
     changes = compare(call, items_of((await bridge.items()).items))
     if not changes:
@@ -217,8 +218,8 @@
         click.echo("brackengate: step check: nothing was sent", err=True)
         return BAD
     answer = await bridge.amend(call)
-    if "invalid" in answer:  # the configuration has changed since it was looked at
-        click.echo(f"brackengate: step amend: {answer['invalid']}", err=True)
+    if not isinstance(answer, CommandDone):  # the configuration has changed since it was looked at
+        click.echo(f"brackengate: step amend: {getattr(answer, 'reason', answer)}", err=True)
         return REFUSED
     news = effective(changes)
     click.echo(f"agreed: {len(news)} of {len(changes)} items have effect", err=as_json)
@@ -226,8 +227,6 @@
 
 
 async def _until_pilots_have(bridge: Bridge, changes: Sequence[Change], wait: float, as_json: bool) -> int:
-    import msgspec
-
     from brackengate.bridge import figures
     from brackengate.signals.words import Held, Items
 
@@ -238,7 +237,7 @@
             standings, _ = await bridge.standings()
             if place is None:
                 told = await bridge.of_members(Held(), [one.addr for one in standings])
-                place = figures.place_of(names, [msgspec.convert(one, Items) for one in told])
+                place = figures.place_of(names, [one for one in told if isinstance(one, Items)])
             if place is not None:
                 late = figures.behind(standings, place)
                 count = sum(len(one.pilots) for one in standings)
@@ -291,6 +290,7 @@
     """Tell a member to leave or to come back, and wait for the view that says so."""
     from brackengate.bridge import figures
     from brackengate.bridge.ask import Unanswered, ask
+    from brackengate.signals.words import SeatAnswer
 
     standings, _ = await bridge.standings()
     member = _member(standings, name)
@@ -298,8 +298,9 @@
         answer = await ask(bridge.address(member.addr), what)
     except Unanswered as error:
         raise ExceptionGroup("a member did not answer", [error]) from None
-    if "refused" in answer:
-        click.echo(f"brackengate: step {type(what).__name__.lower()}: {answer['refused']}", err=True)
+    assert isinstance(answer, SeatAnswer)
+    if answer.refused:
+        click.echo(f"brackengate: step {type(what).__name__.lower()}: {answer.refused}", err=True)
         return REFUSED
     until = time.monotonic() + wait
     while True:
--- a/brackengate/lighthouse/chain.py
+++ b/brackengate/lighthouse/chain.py
@@ -5,73 +5,43 @@
 chain. Only what is agreed is published, so nothing published is ever taken back.  The log is kept as the
 latest value of each row with the log index of its entry: what follows an index is the rows with a higher one.
 
-Asks may come to any member, which sends them to the head until it hears what became of them; asking again
-does no harm, as each ask says what is wanted and not a step towards it.  Times are microseconds of a steady
-clock.
+What commands wait, and what the head decides of them, is in `commands.py`.  Times are microseconds of a
+steady clock.
 """
 
 from __future__ import annotations
 
 from collections import deque
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
 
-from brackengate.lighthouse.actions import Action, Answer, Publish, Restart, Store, Tell
+from brackengate.lighthouse.actions import Action, Publish, Restart, Store, Tell
+from brackengate.lighthouse.commands import KEY, PendingCommands, PendingReply, decide
 from brackengate.lighthouse.view import LogStatus
-from brackengate.signals.items import Invalid, Item, Name, effect, layout, read_call
+from brackengate.signals.items import Item, Name, layout
 from brackengate.signals.words import (
     ITEMS,
     PUBLIC,
     Ack,
-    Amend,
     Append,
     ChainSnapshot,
-    Claim,
     Command,
+    Configuration,
     Entry,
     Line,
     Position,
-    Read,
-    Report,
     Result,
     Row,
     Submit,
-    Suspect,
-    Unclaim,
     View,
 )
 
-AGAIN = 400_000  # an ask without an answer is sent again
-GIVE_UP = 12_000_000  # and forgotten
 HAVE = 200_000  # a member that has not met the one before it says again what it has
 RECENT = 2_000  # entries kept for followers
 PRUNE_AT_ONCE = 200
 PRUNE = 1_000_000
-KEY = "key"
-
-
-@dataclass(slots=True)
-class PendingCommand:
-    """An ask that came to this member."""
-
-    what: Command
-    at: int
-    sent: int
-    local: int  # the carrier's number
-    numbers: list[int] = field(default_factory=list)  # one for each time that it was sent
-
-
-@dataclass(slots=True)
-class PendingReply:
-    """What the head says once an index is agreed."""
-
-    index: int
-    addr: str
-    id: int
-    result: Any
 
 
 class Chain:
@@ -99,11 +69,7 @@
         self._recent_from = index  # entries after this index are in `_recent`
         self._published: dict[Name, tuple[int, Any]] = {}
         self._said_have = self._pruned = 0
-        self._pending: dict[int, PendingCommand] = {}
-        self._sent: dict[int, int] = {}  # the ask of each number
-        self._last_id = (
-            now  # no number of an earlier life comes again: words for those may still be under way
-        )
+        self._commands = PendingCommands(now)
         self._pending_replies: deque[PendingReply] = deque()
 
     def load(self, rows: list[tuple[str, str, int, Any]], now: int) -> None:
@@ -167,8 +133,8 @@
             self.caught_up_epoch = view.epoch
         out += self._say_have(now)
         out += self._tail()
-        for ask in list(self._pending):
-            out += self._send(ask, now)
+        for command_id in list(self._commands.by_id):
+            out += self._submit(command_id, now)
         return out
 
     def tick(self, now: int) -> list[Action]:
@@ -179,11 +145,10 @@
             and now - self._said_have >= HAVE
         ):
             out += self._say_have(now)
-        for ask, pending in list(self._pending.items()):
-            if now - pending.at > GIVE_UP:
-                out.append(self._settle(ask, None))
-            elif now - pending.sent > AGAIN:
-                out += self._send(ask, now)
+        for command_id in self._commands.expired(now):
+            out.append(self._commands.settle(command_id, None))
+        for command_id in self._commands.due(now):
+            out += self._submit(command_id, now)
         if now - self._pruned > PRUNE:
             self._pruned = now
             out += self._prune(now)
@@ -212,85 +177,40 @@
             out.append(Tell(before, Ack(self.view.epoch, self.commit_index)))
         return out
 
-    # --- asks, where they come in
+    # --- commands
 
     def ask(self, what: Command, local: int, now: int) -> list[Action]:
         """Answered once, by `Answer(local, result)`."""
-        self._last_id += 1
-        self._pending[self._last_id] = PendingCommand(what, now, now, local)
-        return self._send(self._last_id, now)
-
-    def _send(self, ask: int, now: int) -> list[Action]:
-        pending = self._pending[ask]
-        pending.sent = now
-        self._last_id += 1
-        pending.numbers.append(self._last_id)
-        self._sent[self._last_id] = ask
-        word = Submit(self._last_id, pending.what)
+        return self._submit(self._commands.add(what, local, now), now)
+
+    def _submit(self, command_id: int, now: int) -> list[Action]:
+        word = self._commands.submission(command_id, now)
         if self.head == self.me:
-            return self._do(self.me, word, now)
+            return self._execute(self.me, word, now)
         return [Tell(self.head, word)] if self.head else []
 
-    def _done(self, word: Result) -> list[Action]:
-        ask = self._sent.get(word.id)
-        if ask is None:
-            return []
-        if word.id != self._pending[ask].numbers[-1] and ("gate" in word.result or "invalid" in word.result):
-            return []  # turned down, but it was sent again: that may come to another end
-        return [self._settle(ask, word.result)]
-
-    def _settle(self, ask: int, result: Any) -> Answer:
-        pending = self._pending.pop(ask)
-        for number in pending.numbers:
-            del self._sent[number]
-        return Answer(pending.local, result)
-
-    # --- asks, at the head
+    def _resolved(self, word: Result) -> list[Action]:
+        answer = self._commands.resolved(word)
+        return [answer] if answer is not None else []
 
-    def _do(self, addr: str, word: Submit, now: int) -> list[Action]:
+    def _execute(self, addr: str, word: Submit, now: int) -> list[Action]:
+        """At the head: its result is told once all that it was decided by is agreed."""
         fit = self._chain_position() == 0 and self.has_snapshot and not self.epoch_closed
         if not fit or len(self.view.members) < self.min_replicas:
             return []
-        rows: list[Row] = []
-        result: Any = {"ok": True}
-        match word.what:
-            case Amend(body):
-                try:
-                    news = effect(read_call(body.encode()), self.items)
-                    rows = [(kind, name, msgspec.to_builtins(item)) for (kind, name), item in news.items()]
-                except Invalid as why:
-                    result = {"invalid": str(why)}
-            case Read():
-                result = None  # read when it is answered, which is from the tail on
-            case Claim(key, gate, attempt, instead):
-                held = self.rows.get((KEY, key))
-                if held is None or held[1] == [gate, instead]:
-                    rows = [(KEY, key, [gate, attempt])]
-                elif held[1] != [gate, attempt]:  # said once it is agreed: what is held here may yet be lost
-                    result = {"gate": held[1][0], "attempt": held[1][1]}
-            case Unclaim(key, gate, attempt):
-                held = self.rows.get((KEY, key))
-                if held is not None and held[1] == [gate, attempt]:
-                    rows = [(KEY, key, None)]
-            case Report(name, value):
-                held = self.rows.get(("inst", name))
-                if held is None or held[1] != value:
-                    rows = [("inst", name, value)]
-            case Suspect(watcher, silent):
-                held = self.rows.get(("silent", watcher))
-                if (list(held[1] or ()) if held is not None else []) != list(silent):
-                    rows = [("silent", watcher, list(silent) or None)]
-        out = self._append(rows, now)
-        self._pending_replies.append(PendingReply(self.index, addr, word.id, result))
+        decision = decide(word.what, self.rows, self.items)
+        out = self._append(list(decision.rows), now)
+        self._pending_replies.append(PendingReply(self.index, addr, word.id, decision.result))
         return out
 
+    def _reply(self, reply: PendingReply) -> list[Action]:
+        result = reply.result if reply.result is not None else self.configuration()
+        word = Result(reply.id, result)
+        return self._resolved(word) if reply.addr == self.me else [Tell(reply.addr, word)]
+
     def _append(self, rows: list[Row], now: int) -> list[Action]:
         return self._take((Entry(self.index + 1, tuple(rows)),), now)
 
-    def _tell_done(self, addr: str, ask: int, result: Any) -> list[Action]:
-        done = Result(ask, result)
-        return self._done(done) if addr == self.me else [Tell(addr, done)]
-
     def _prune(self, now: int) -> list[Action]:
         """A duty of the head: keys that nobody may repeat any more.  By age: the time of day jumps."""
         if (
@@ -312,9 +232,9 @@
     def heard(self, addr: str, word: Line, now: int) -> list[Action]:
         match word:
             case Submit():
-                return self._do(addr, word, now)
+                return self._execute(addr, word, now)
             case Result():
-                return self._done(word)
+                return self._resolved(word)
             case Position():
                 return self._on_have(addr, word)
             case Append():
@@ -468,9 +388,7 @@
                 self._recent_from = self._recent.popleft()[0]
             out.append(Publish(index, tuple(rows)))
         while self._pending_replies and self._pending_replies[0].index <= index:
-            owed = self._pending_replies.popleft()
-            result = owed.result if owed.result is not None else self.configuration()
-            out += self._tell_done(owed.addr, owed.id, result)
+            out += self._reply(self._pending_replies.popleft())
         return out
 
     # --- what followers get
@@ -480,11 +398,11 @@
         """All that is agreed of what followers may have, with the place of each."""
         return self._published
 
-    def configuration(self) -> dict[str, Any]:
+    def configuration(self) -> Configuration:
         held = (
             (name, msgspec.convert(row[1], Item)) for name, row in self._published.items() if name[0] in ITEMS
         )
-        return layout(held)
+        return Configuration(layout(held))
 
     def since(self, index: int) -> tuple[bool, int, tuple[Row, ...]]:
         """Whether it is a snapshot, the index that it leads to, and the rows."""
--- /dev/null
+++ b/brackengate/lighthouse/commands.py
@@ -0,0 +1,165 @@
+"""Commands: those that wait at the replica they came to, and what the head decides of each.  Pure.
+
+A command may come to any replica, which submits it to the head again and again until it hears the result;
+submitting it twice does no harm, as each command says what is wanted and not a step towards it.  The head
+decides it against all that it holds, and its result is told once every entry up to that point is agreed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from brackengate.lighthouse.actions import Answer
+from brackengate.signals.items import Invalid, Item, Name, effect, read_call
+from brackengate.signals.words import (
+    Amend,
+    Claim,
+    Command,
+    CommandDone,
+    CommandResult,
+    ConflictingOrder,
+    HeldBy,
+    InvalidOrder,
+    Read,
+    Report,
+    Result,
+    Row,
+    Submit,
+    Suspect,
+    Unclaim,
+    UndecidedOrder,
+)
+
+RESUBMIT_AFTER = 400_000  # a command without a result is submitted again, microseconds
+GIVE_UP_AFTER = 12_000_000  # and forgotten
+KEY = "key"
+REFUSALS = (HeldBy, InvalidOrder, ConflictingOrder, UndecidedOrder)
+
+DONE = CommandDone()
+
+Rows = Mapping[Name, tuple[int, Any]]
+
+
+@dataclass(slots=True)
+class PendingCommand:
+    """A command that came to this replica and waits for its result."""
+
+    what: Command
+    at: int
+    sent: int
+    local: int  # the carrier's number
+    numbers: list[int] = field(default_factory=list)  # one for each time that it was submitted
+
+
+@dataclass(slots=True)
+class PendingReply:
+    """What the head says once an index is agreed.  `result` None: read when it is said."""
+
+    index: int
+    addr: str
+    id: int
+    result: CommandResult | None
+
+
+@dataclass(slots=True)
+class PendingCommands:
+    """The commands that came to this replica, and the numbers under which each was submitted.
+
+    `last_id` begins at the steady clock, so that no number of an earlier life comes again: messages for
+    those may still be under way.
+    """
+
+    last_id: int
+    by_id: dict[int, PendingCommand] = field(default_factory=dict)
+    command_of: dict[int, int] = field(default_factory=dict)  # by the number of a submission
+
+    def add(self, what: Command, local: int, now: int) -> int:
+        self.last_id += 1
+        self.by_id[self.last_id] = PendingCommand(what, now, now, local)
+        return self.last_id
+
+    def submission(self, command_id: int, now: int) -> Submit:
+        """Under a new number, which tells this submission from the ones before."""
+        pending = self.by_id[command_id]
+        pending.sent = now
+        self.last_id += 1
+        pending.numbers.append(self.last_id)
+        self.command_of[self.last_id] = command_id
+        return Submit(self.last_id, pending.what)
+
+    def resolved(self, word: Result) -> Answer | None:
+        """None: nobody waits for it, or it may still come to another end."""
+        command_id = self.command_of.get(word.id)
+        if command_id is None:
+            return None
+        latest = self.by_id[command_id].numbers[-1]
+        if word.id != latest and isinstance(word.result, REFUSALS):
+            return None  # turned down, but it was submitted again
+        return self.settle(command_id, word.result)
+
+    def settle(self, command_id: int, result: Any) -> Answer:
+        pending = self.by_id.pop(command_id)
+        for number in pending.numbers:
+            del self.command_of[number]
+        return Answer(pending.local, result)
+
+    def expired(self, now: int) -> list[int]:
+        return [number for number, one in self.by_id.items() if now - one.at > GIVE_UP_AFTER]
+
+    def due(self, now: int) -> list[int]:
+        """Those that are to be submitted again."""
+        return [number for number, one in self.by_id.items() if now - one.sent > RESUBMIT_AFTER]
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """The rows that a command sets, and its result.  `result` None: read when it is said."""
+
+    rows: tuple[Row, ...]
+    result: CommandResult | None = DONE
+
+
+def decide(what: Command, rows: Rows, items: Mapping[Name, Item]) -> Decision:
+    """At the head.  `rows`, `items`: all that it holds, agreed or not yet."""
+    match what:
+        case Amend(body):
+            return _decide_order(body, items)
+        case Read():
+            return Decision((), None)
+        case Claim():
+            return _decide_claim(what, rows)
+        case Unclaim(key, gate, attempt):
+            held = _value(rows, (KEY, key))
+            return Decision(((KEY, key, None),) if held == [gate, attempt] else ())
+        case Report(name, value):
+            changed = _value(rows, ("inst", name)) != value
+            return Decision((("inst", name, value),) if changed else ())
+        case Suspect(watcher, silent):
+            changed = list(_value(rows, ("silent", watcher)) or ()) != list(silent)
+            return Decision((("silent", watcher, list(silent) or None),) if changed else ())
+
+
+def _value(rows: Rows, name: Name) -> Any:
+    held = rows.get(name)
+    return held[1] if held is not None else None
+
+
+def _decide_order(body: str, items: Mapping[Name, Item]) -> Decision:
+    try:
+        news = effect(read_call(body.encode()), items)
+    except Invalid as why:
+        return Decision((), InvalidOrder(str(why)))
+    return Decision(tuple((kind, name, msgspec.to_builtins(item)) for (kind, name), item in news.items()))
+
+
+def _decide_claim(claim: Claim, rows: Rows) -> Decision:
+    held = _value(rows, (KEY, claim.key))
+    if held is None or held == [claim.gate, claim.instead]:
+        return Decision(((KEY, claim.key, [claim.gate, claim.attempt]),))
+    if held == [claim.gate, claim.attempt]:
+        return Decision(())
+    return Decision((), HeldBy(held[0], held[1]))
--- a/brackengate/lighthouse/control.py
+++ b/brackengate/lighthouse/control.py
@@ -4,14 +4,25 @@
 
 import logging
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Protocol
 
 import msgspec
 
 from brackengate.http.message import Arrival, Bad
 from brackengate.net.http import CallerConnection
 from brackengate.signals.door import MOST_BODY, collect, rpc
-from brackengate.signals.words import Amend, Command, Read
+from brackengate.signals.words import (
+    Amend,
+    Command,
+    CommandDone,
+    CommandResult,
+    Configuration,
+    ConflictingOrder,
+    HeldBy,
+    InvalidOrder,
+    Read,
+    UndecidedOrder,
+)
 
 log = logging.getLogger("brackengate.control")
 
@@ -19,7 +30,7 @@
 
 
 class Asks(Protocol):
-    def ask(self, what: Command, done: Callable[[Any], None]) -> None: ...
+    def ask(self, what: Command, done: Callable[[CommandResult | None], None]) -> None: ...
 
 
 class Control:
@@ -43,16 +54,33 @@
         try:
             text = body.decode()
         except UnicodeDecodeError:
-            connection.respond(400, b'{"Error":"not UTF-8"}', JSON)
+            connection.respond(400, _error("not UTF-8"), JSON)
             return
         self._pending.ask(Amend(text), lambda result: self._answer(connection, "config.amend", result))
 
-    def _answer(self, connection: CallerConnection, call: str, result: Any) -> None:
-        if result is None:
-            log.warning("control: %s: no word from the chain in time", call)
-            connection.respond(503, b'{"Error":"the core did not agree in time"}', JSON)
-        elif "invalid" in result:
-            log.info("control: %s: turned down: %s", call, result["invalid"])
-            connection.respond(400, msgspec.json.encode({"Error": result["invalid"]}), JSON)
-        else:
-            connection.respond(200, msgspec.json.encode(result) if call == "config.read" else b"{}", JSON)
+    def _answer(self, connection: CallerConnection, call: str, result: CommandResult | None) -> None:
+        status, body = answer_to(result)
+        if status != 200:
+            log.info("control: %s: %d: %s", call, status, body.decode(errors="replace"))
+        connection.respond(status, body, JSON)
+
+
+def answer_to(result: CommandResult | None) -> tuple[int, bytes]:
+    """Status and body.  A 400 or 409 ends the operator's call; after a 503 it is sent again."""
+    match result:
+        case Configuration(content):
+            return 200, msgspec.json.encode(content)
+        case InvalidOrder(reason):
+            return 400, _error(reason)
+        case ConflictingOrder(reason):
+            return 409, _error(reason)
+        case UndecidedOrder(reason):
+            return 503, _error(reason)
+        case None | HeldBy():
+            return 503, _error("the core did not agree in time")
+        case CommandDone():
+            return 200, b"{}"
+
+
+def _error(reason: str) -> bytes:
+    return msgspec.json.encode({"Error": reason})
--- a/brackengate/lighthouse/watchroom.py
+++ b/brackengate/lighthouse/watchroom.py
@@ -12,23 +12,25 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
-import msgspec
-
 from brackengate.lighthouse.replica import Replica
 from brackengate.lighthouse.standing import held, standing
 from brackengate.signals.lines import Lines
 from brackengate.signals.words import (
     Amend,
     Command,
+    CommandResult,
     Explain,
+    Followers,
     Follows,
     Held,
     Inquire,
+    InquiryResult,
     Leave,
     Look,
     Read,
     Rejoin,
     Result,
+    SeatAnswer,
     Seen,
     Stand,
 )
@@ -65,25 +67,25 @@
         self._last = 0
 
     def heard(self, lines: Lines, word: Inquire) -> None:
-        def say(result: Any) -> None:
-            lines.send(Result(word.id, msgspec.to_builtins(result)))
+        def say(result: CommandResult | InquiryResult | None) -> None:
+            lines.send(Result(word.id, result))
 
         replica = self._replica
         match word.what:
             case Stand():
                 self._look("", lambda pilots: say(standing(replica, pilots, self._now())))
             case Explain(attempt):
-                self._look(attempt, say)
+                self._look(attempt, lambda pilots: say(Followers(pilots)))
             case Held():
                 say(held(replica, self._now()))
             case Leave(replaced):
                 why = replica.leave(replaced, self._now())
                 log.info("watchroom: told to give up the seat: %s", why or "it does")
-                say({"refused": why} if why else {"ok": True})
+                say(SeatAnswer(why))
             case Rejoin():
                 replica.rejoin()
                 log.info("watchroom: told to take a seat again")
-                say({"ok": True})
+                say(SeatAnswer())
             case Amend() | Read():
                 self._ask(word.what, say)
 
--- a/brackengate/pilot/entry.py
+++ b/brackengate/pilot/entry.py
@@ -40,7 +40,7 @@
 from brackengate.pilot.load import Load, Ticket
 from brackengate.pilot.wake import ID, Wake
 from brackengate.signals.door import MOST_BODY
-from brackengate.signals.words import Claim, Command, Unclaim
+from brackengate.signals.words import Claim, Command, HeldBy, Unclaim
 
 log = logging.getLogger("brackengate.gate")
 
@@ -341,14 +341,14 @@
             operation.state = State.UNCLAIMED
             for visit in self._waiting(operation):
                 self._say(visit, Said.UNCLAIMED)
-        elif "gate" not in result:
+        elif not isinstance(result, HeldBy):
             operation.state = State.UNRUN
             self._settle(operation)
-        elif result["gate"] == self._me:
+        elif result.owner == self._me:
             operation.state = State.LOST  # claimed by an earlier life of this process
             self._settle(operation)
         else:
-            operation.state, operation.holder = State.ELSEWHERE, result["gate"]
+            operation.state, operation.holder = State.ELSEWHERE, result.owner
             self._settle(operation)
 
     def _waiting(self, operation: Operation) -> list[Visit]:
--- a/brackengate/signals/words.py
+++ b/brackengate/signals/words.py
@@ -102,6 +102,47 @@
 Command = Amend | Read | Claim | Unclaim | Report | Suspect
 
 
+# --- what becomes of a command
+
+
+class CommandDone(msgspec.Struct, tag_field="t", tag="ok", frozen=True):
+    """It holds: agreed, whether it changed anything or was so already."""
+
+
+class HeldBy(msgspec.Struct, tag_field="t", tag="held_by", frozen=True):
+    """A claim: another one holds the key."""
+
+    owner: str  # the pilot
+    attempt: str
+
+
+class InvalidOrder(msgspec.Struct, tag_field="t", tag="invalid", frozen=True):
+    """An order of the operator that must not be in force, in any part."""
+
+    reason: str
+
+
+class ConflictingOrder(msgspec.Struct, tag_field="t", tag="conflict", frozen=True):
+    """Another order was acknowledged with other content under the same version; no part is in force."""
+
+    reason: str
+
+
+class UndecidedOrder(msgspec.Struct, tag_field="t", tag="undecided", frozen=True):
+    """Whether it was acknowledged before is no longer known; no part is in force by it now."""
+
+    reason: str
+
+
+class Configuration(msgspec.Struct, tag_field="t", tag="configuration", frozen=True):
+    """All items that stand, as the operator's first call lays them out."""
+
+    content: dict[str, Any]
+
+
+CommandResult = CommandDone | HeldBy | InvalidOrder | ConflictingOrder | UndecidedOrder | Configuration
+
+
 # --- among lighthouses
 
 
@@ -210,8 +251,10 @@
 
 
 class Result(Word, frozen=True, tag="done"):
+    """`result` None: it is not known what becomes of the command."""
+
     id: int
-    result: Any
+    result: CommandResult | InquiryResult | None
 
 
 # --- between a pilot and a lighthouse
@@ -361,6 +404,12 @@
     leaves: bool = False
 
 
+class SeatAnswer(msgspec.Struct, tag_field="t", tag="seat", frozen=True, omit_defaults=True):
+    """To `Leave` and `Rejoin`.  `refused`: why it does not; empty: it does."""
+
+    refused: str = ""
+
+
 class Follows(msgspec.Struct, frozen=True, omit_defaults=True):
     """A pilot that follows this lighthouse."""
 
@@ -370,7 +419,13 @@
     wake: tuple[dict[str, Any], ...] = ()  # what it decided of the attempt that was asked for
 
 
-class Standing(msgspec.Struct, frozen=True, omit_defaults=True):
+class Followers(msgspec.Struct, tag_field="t", tag="followers", frozen=True):
+    """To `Explain`: the pilots that follow, each with what it decided."""
+
+    pilots: tuple[Follows, ...]
+
+
+class Standing(msgspec.Struct, tag_field="t", tag="standing", frozen=True, omit_defaults=True):
     """One lighthouse, by its own word.  Places are of the log; -1: none is known."""
 
     addr: str
@@ -409,8 +464,11 @@
     body: dict[str, Any] | None = None
 
 
-class Items(msgspec.Struct, frozen=True):
+class Items(msgspec.Struct, tag_field="t", tag="items", frozen=True):
     serves: bool
     commit_index: int
     epoch: int
     items: tuple[HeldItem, ...]
+
+
+InquiryResult = SeatAnswer | Followers | Standing | Items
--- a/brackengate/soundings/chart.py
+++ b/brackengate/soundings/chart.py
@@ -13,6 +13,11 @@
     Ack,
     Append,
     ChainSnapshot,
+    CommandResult,
+    Configuration,
+    ConflictingOrder,
+    HeldBy,
+    InvalidOrder,
     Line,
     NewView,
     Outvoted,
@@ -22,6 +27,7 @@
     Promise,
     Result,
     Submit,
+    UndecidedOrder,
     View,
     WantView,
 )
@@ -111,11 +117,15 @@
 
 
 def _result(result: bytes) -> str:
-    told: Any = msgspec.json.decode(result)
-    if "gate" in told:
-        return f"refused, {told['gate']} holds it"
-    if "Plants" in told:
-        return " ".join(one["Revision"] for one in told["Plants"]) or "nothing"
+    match msgspec.json.decode(result, type=CommandResult | None):
+        case HeldBy(owner):
+            return f"refused, {owner} holds it"
+        case Configuration(content):
+            return " ".join(one["Revision"] for one in content["Plants"]) or "nothing"
+        case InvalidOrder(reason) | ConflictingOrder(reason) | UndecidedOrder(reason):
+            return f"refused, {reason}"
+        case None:
+            return "not known"
     return "ok"
 
 
--- a/brackengate/soundings/model.py
+++ b/brackengate/soundings/model.py
@@ -14,7 +14,17 @@
 import msgspec
 
 from brackengate.lighthouse.replica import FIRST, Replica
-from brackengate.signals.words import Accept, Accepted, Claim, NewView, Promise, View
+from brackengate.signals.words import (
+    Accept,
+    Accepted,
+    Claim,
+    CommandDone,
+    CommandResult,
+    Configuration,
+    NewView,
+    Promise,
+    View,
+)
 from brackengate.soundings.vessel import (
     FREED,
     READ,
@@ -179,7 +189,7 @@
             self._writes(agreed),
             chain._before(),
             chain._chain_position() > 0 and chain.caught_up_epoch != chain.view.epoch,
-            bool(chain._pending),
+            bool(chain._commands.by_id),
             frozenset(addr for addr in agreement.peers if agreement.hears(addr, 0)),
         )
 
@@ -543,7 +553,7 @@
                 if model.facts[self._host(effect[1])].up:
                     self._act(effect[1], ("pong", name))
             elif kind == "answer":
-                self._answered(effect[1], msgspec.json.decode(effect[2]))
+                self._answered(effect[1], msgspec.json.decode(effect[2], type=CommandResult | None))
             elif kind == "bid":
                 self._spend("bids")
                 if effect[1] > model.bounds.views and self.past.left[0] != FREE:
@@ -565,18 +575,19 @@
 
     # --- what must hold, where it is done
 
-    def _answered(self, number: int, result: Any) -> None:
+    def _answered(self, number: int, result: CommandResult | None) -> None:
         past = self.past
         if number > READ:
             least = next(one for asked, one in past.reads if asked == number)
             reads = tuple(one for one in past.reads if one[0] != number)
-            found = int(result["Plants"][0]["Revision"][1:]) if result and result.get("Plants") else 0
+            plants = result.content["Plants"] if isinstance(result, Configuration) else []
+            found = int(plants[0]["Revision"][1:]) if plants else 0
             if found < least:
                 raise Broken(f"a read went back: it gave version {found} after version {least} was known")
             self.past = replace(past, reads=reads, seen=max(past.seen, found))
         elif number > FREED:
             pass
-        elif result.get("ok"):
+        elif isinstance(result, CommandDone):
             what = ask(number, self.model.waters.amends)
             others = past.acked - {number}
             if isinstance(what, Claim) and others:
--- a/brackengate/soundings/vessel.py
+++ b/brackengate/soundings/vessel.py
@@ -168,7 +168,7 @@
     if agreement._change is not None:
         agreement._change.at = 0
     chain._said_have = chain._pruned = 0
-    for pending in chain._pending.values():
+    for pending in chain._commands.by_id.values():
         pending.at = pending.sent = 0
 
 
@@ -212,7 +212,9 @@
             case ("ask", number):
                 return replica.ask(ask(number, self.waters.amends), number, 0)
             case ("again",):
-                return [action for number in list(chain._pending) for action in chain._send(number, 0)]
+                return [
+                    action for number in list(chain._commands.by_id) for action in chain._submit(number, 0)
+                ]
             case ("have",):
                 return chain._say_have(0)
         raise ValueError(act)
--- a/tests/lighthouse/test_core.py
+++ b/tests/lighthouse/test_core.py
@@ -13,7 +13,7 @@
 from timeline import play
 
 from brackengate.lighthouse.replica import FIRST
-from brackengate.signals.words import Amend, Claim, Read
+from brackengate.signals.words import Amend, Claim, CommandDone, HeldBy, Read
 
 
 class Mending(TestCase):
@@ -362,7 +362,7 @@
             hosts[2].ask(Claim("k1", "g2", "2"), again.append)
             core.run(core.now + 2_000_000)
             if acknowledged:
-                self.assertThat(again, Equals([{"gate": "g1", "attempt": "1"}]), f"{late} us")
+                self.assertThat(again, Equals([HeldBy("g1", "1")]), f"{late} us")
             else:
                 self.assertThat(again, HasLength(1), f"{late} us")
 
@@ -388,13 +388,13 @@
         hosts[2].ask(Amend(plant % ("new", 7)), said.append)
         hosts[1].ask(Amend(plant % ("older", 2)), said.append)
         core.run(core.now + 1_000_000)
-        self.assertThat(said, Equals([{"ok": True}] * 3))
+        self.assertThat(said, Equals([CommandDone()] * 3))
         for host in hosts:
             read: list[Any] = []
             host.ask(Read(), read.append)
             core.run(core.now + 500_000)
             self.assertThat(
-                read[0]["Plants"], Equals([{"Name": "p", "HealthPath": "/new", "Revision": "r7"}])
+                read[0].content["Plants"], Equals([{"Name": "p", "HealthPath": "/new", "Revision": "r7"}])
             )
 
     def test_what_is_published_never_goes_back_and_is_agreed(self) -> None:
@@ -472,10 +472,10 @@
             gate = f"g{count[0]}"
 
             def done(result: Any) -> None:
-                if result is not None and "gate" not in result:
+                if result is not None and not isinstance(result, HeldBy):
                     assert granted.setdefault(key, gate) == gate
                 elif result is not None:
-                    assert granted.get(key, result["gate"]) == result["gate"]
+                    assert granted.get(key, result.owner) == result.owner
 
             rng.choice(hosts).ask(Claim(key, gate, "1"), done)
             core.later(rng.randrange(50_000), client)
--- a/tests/lighthouse/test_watchroom.py
+++ b/tests/lighthouse/test_watchroom.py
@@ -13,7 +13,7 @@
 from brackengate.lighthouse import watchroom
 from brackengate.lighthouse.standing import held, standing
 from brackengate.lighthouse.watchroom import Watchroom
-from brackengate.signals.words import Amend, Explain, Follows, Inquire, Look, Result, Seen
+from brackengate.signals.words import Amend, Explain, Followers, Inquire, Look, Result, Seen
 
 PLANT = '{"Apply":{"Plants":[{"Name":"p","Revision":"r%d"}]},"Remove":{"Plants":[%s]}}'
 HOP = {"hop": "out", "at": 1}
@@ -109,8 +109,9 @@
         await asker.said.wait()
         [done] = asker.sent
         assert (type(done), done.id) == (Result, 3)
-        told = {one["addr"]: (one.get("index"), one.get("wake", [])) for one in done.result}
-        assert told == {"quick": (9, (HOP,)), "silent": (None, []), "older": (None, [])}
+        assert isinstance(done.result, Followers)
+        told = {one.addr: (one.index, one.wake) for one in done.result.pilots}
+        assert told == {"quick": (9, (HOP,)), "silent": (None, ()), "older": (None, ())}
         room.seen(silent, Seen(1, 9))  # type: ignore[arg-type]
 
     asyncio.run(asyncio.wait_for(play(), 10))
@@ -126,6 +127,6 @@
         room.seen(one, Seen(1, 9))  # type: ignore[arg-type]
         assert asker.sent == []
         room.seen(two, Seen(1, 8))  # type: ignore[arg-type]
-        assert [Follows(**row).index for row in asker.sent[0].result] == [9, 8]
+        assert [one.index for one in asker.sent[0].result.pilots] == [9, 8]
 
     asyncio.run(play())
--- a/tests/lighthouse/timeline.py
+++ b/tests/lighthouse/timeline.py
@@ -21,7 +21,7 @@
 
 from corekit import Core, Host
 
-from brackengate.signals.words import Claim, Unclaim
+from brackengate.signals.words import Claim, HeldBy, Unclaim
 
 
 class Broken(AssertionError):
@@ -66,7 +66,11 @@
 
         def done(result: Any) -> None:
             answers[name] = (
-                "none" if result is None else f"held by {result['gate']}" if "gate" in result else "ok"
+                "none"
+                if result is None
+                else f"held by {result.owner}"
+                if isinstance(result, HeldBy)
+                else "ok"
             )
 
         host.ask(what, done)
--- a/tests/pilot/pilots.py
+++ b/tests/pilot/pilots.py
@@ -23,6 +23,7 @@
 from brackengate.pilot.wake import Wake
 from brackengate.pilot.way import WayOut, judge
 from brackengate.signals.door import listener
+from brackengate.signals.words import CommandDone, HeldBy
 
 LOCAL = "127.0.0.1"
 MS, S = 1_000, 1_000_000
@@ -135,7 +136,7 @@
         return LOCAL, self.holder.inbound if self.holder and machine == "other" else self.inbound
 
     def _ask(self, what: Any, done: Callable[[Any], None], within_s: float) -> None:
-        said = {"gate": "other"} if self.holder else {"ok": True}
+        said = HeldBy("other", "x") if self.holder else CommandDone()
         asyncio.get_running_loop().call_soon(done, said)
 
     async def caller(self) -> Caller:
--- a/tests/pilot/test_entry.py
+++ b/tests/pilot/test_entry.py
@@ -21,7 +21,7 @@
 from brackengate.pilot.entry import Entry, own_judge
 from brackengate.pilot.gate import Beat, Gate
 from brackengate.pilot.hop import HOP, Said, Step
-from brackengate.signals.words import Claim, Unclaim
+from brackengate.signals.words import Claim, CommandDone, HeldBy, Unclaim
 
 S = 1_000_000
 SEAL = b"x-brackengate-server-seal"
@@ -185,7 +185,7 @@
         self.own.jobs.pop(0).done(Result(outcome, answer=answer))
 
 
-OK = {"ok": True}
+OK = CommandDone()
 
 
 class Keys(TestCase):
@@ -215,7 +215,7 @@
         after = world.asked[0][0]
         self.assertThat([type(after), after.instead], Equals([Claim, before.attempt]))
         self.assertThat(after.attempt == before.attempt, Equals(False))
-        world.core({"gate": "other", "attempt": "x"})
+        world.core(HeldBy("other", "x"))
         self.assertThat([world.own.jobs, len(world.gates.jobs)], Equals([[], 1]))
 
     def test_a_claim_that_is_granted_late_runs_nothing_by_itself(self) -> None:
@@ -263,7 +263,7 @@
     def test_a_claim_of_an_earlier_life_of_this_pilot_runs_nothing(self) -> None:
         world = World()
         first = world.comes("k")
-        world.core({"gate": "me", "attempt": "before"})
+        world.core(HeldBy("me", "before"))
         replay = world.comes("other", replay=True)
         self.assertThat([first.said, replay.said, world.own.jobs], Equals(["unknown", "unknown", []]))
 
@@ -340,7 +340,7 @@
     def relayed(self) -> tuple[World, Connection]:
         world = World()
         connection = world.comes("k")
-        world.core({"gate": "other", "attempt": "x"})
+        world.core(HeldBy("other", "x"))
         return world, connection
 
     def test_a_relay_that_broke_behind_its_request_promises_nothing(self) -> None:
