Decide orders by what was acknowledged before

Cause: an order that was taken, overtaken and sent again was checked against today's services and places and refused; an item of equal version and other content was acknowledged to a second operator; an order whose caller had gone, and had been refused elsewhere, could still come into force by a late copy. Change: lighthouse/orders.py decides by a record of each acknowledged item (version and digest of its content), kept in rows of the log; other contents under an acknowledged version are answered 409.

--- a/brackengate/bridge/changes.py
+++ b/brackengate/bridge/changes.py
@@ -1,7 +1,8 @@
 """What a call of the operator would do, item by item, before it is sent.  Pure.
 
-The lighthouses' own checker says what is sound and what has effect (`signals/items.py`); here it is only
-asked about each item on its own too, so that a call with several faults shows them all.
+The lighthouses' own checker says what is sound (`signals/items.py`) and what has effect
+(`lighthouse/orders.py`); here it is only asked about each item on its own too, so that a call with several
+faults shows them all.  What was acknowledged of versions that do not hold any more is not known here.
 """
 
 from __future__ import annotations
@@ -11,8 +12,9 @@
 
 import msgspec
 
-from brackengate.signals.items import Invalid, Item, Name, effect, read_call
-from brackengate.signals.words import HeldItem
+from brackengate.lighthouse.orders import History, decide
+from brackengate.signals.items import Invalid, Item, Name, Order, read_call
+from brackengate.signals.words import CommandDone, HeldItem
 
 SET, DROPPED, NO_EFFECT, INVALID = "set", "dropped", "no effect", "invalid"
 
@@ -58,15 +60,16 @@
         told = any(one.why == str(error) for one in faults)
         return faults if told else [*faults, Change("call", "", INVALID, why=str(error))]
     out: list[Change] = []
-    try:
-        news = effect(read, held)
-    except Invalid as error:
-        news = {name: item for name, item in read.items() if _newer(item, held.get(name))}
-        out.append(Change("call", "", INVALID, why=str(error)))
+    result = decide(read, held, lambda _: History()).result
+    if not isinstance(result, CommandDone):
+        out.append(Change("call", "", INVALID, why=result.reason))
+    highest = _highest(read)
     found = []
-    for (kind, name), item in read.items():
+    for (kind, name), item in read:
         before = held.get((kind, name))
-        if (kind, name) in news:
+        if highest[kind, name] > item.version:
+            what, why = NO_EFFECT, f"r{highest[kind, name]} stands in the same call"
+        elif _newer(item, before):
             what = SET if item.body is not None else DROPPED
             why = "new" if before is None else f"r{before.version} is held"
         else:
@@ -78,6 +81,13 @@
     return found + out
 
 
+def _highest(order: Order) -> dict[Name, int]:
+    found: dict[Name, int] = {}
+    for name, item in order:
+        found[name] = max(item.version, found.get(name, 0))
+    return found
+
+
 def _newer(item: Item, before: Item | None) -> bool:
     return before is None or item.version > before.version
 
--- a/brackengate/installation/units.py
+++ b/brackengate/installation/units.py
@@ -49,6 +49,19 @@
     return Duration(round(float(found[1]) * _US[found[2]]))
 
 
+def exact_duration(text: object) -> str:
+    """Microseconds, not rounded and alike for equal times ("1500000", "0.25"); ValueError as above."""
+    duration(text)
+    assert isinstance(text, str)
+    found = _DURATION.fullmatch(text)
+    assert found is not None
+    whole, _, part = found[1].partition(".")
+    digits = str(int(whole + part) * _US[found[2]]).zfill(len(part) + 1)
+    if not part:
+        return digits
+    return f"{digits[: -len(part)]}.{digits[-len(part) :]}".rstrip("0").rstrip(".")
+
+
 def size(text: object) -> Size:
     """Read `192MB`; ValueError says what is allowed."""
     found = _SIZE.fullmatch(text) if isinstance(text, str) else None
--- a/brackengate/lighthouse/chain.py
+++ b/brackengate/lighthouse/chain.py
@@ -183,8 +183,12 @@
         """Answered once, by `Answer(local, result)`."""
         return self._submit(self._commands.add(what, local, now), now)
 
+    def withdraw(self, local: int) -> None:
+        """Whoever asked has gone."""
+        self._commands.withdraw(local)
+
     def _submit(self, command_id: int, now: int) -> list[Action]:
-        word = self._commands.submission(command_id, now)
+        word = self._commands.submission(command_id, self.view.epoch, now)
         if self.head == self.me:
             return self._execute(self.me, word, now)
         return [Tell(self.head, word)] if self.head else []
@@ -196,8 +200,8 @@
     def _execute(self, addr: str, word: Submit, now: int) -> list[Action]:
         """At the head: its result is told once all that it was decided by is agreed."""
         fit = self._chain_position() == 0 and self.has_snapshot and not self.epoch_closed
-        if not fit or len(self.view.members) < self.min_replicas:
-            return []
+        if not fit or len(self.view.members) < self.min_replicas or word.epoch != self.view.epoch:
+            return []  # submitted again once its replica knows the view
         decision = decide(word.what, self.rows, self.items)
         out = self._append(list(decision.rows), now)
         self._pending_replies.append(PendingReply(self.index, addr, word.id, decision.result))
--- a/brackengate/lighthouse/commands.py
+++ b/brackengate/lighthouse/commands.py
@@ -9,12 +9,14 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 import msgspec
 
+from brackengate.lighthouse import orders
 from brackengate.lighthouse.actions import Answer
-from brackengate.signals.items import Invalid, Item, Name, effect, read_call
+from brackengate.signals.items import Invalid, Item, Name, read_call
 from brackengate.signals.words import (
     Amend,
     Claim,
@@ -37,6 +39,7 @@
 RESUBMIT_AFTER = 400_000  # a command without a result is submitted again, microseconds
 GIVE_UP_AFTER = 12_000_000  # and forgotten
 KEY = "key"
+HISTORY = "history"  # rows of what was acknowledged of an item, see `orders.py`
 REFUSALS = (HeldBy, InvalidOrder, ConflictingOrder, UndecidedOrder)
 
 DONE = CommandDone()
@@ -82,14 +85,14 @@
         self.by_id[self.last_id] = PendingCommand(what, now, now, local)
         return self.last_id
 
-    def submission(self, command_id: int, now: int) -> Submit:
+    def submission(self, command_id: int, epoch: int, now: int) -> Submit:
         """Under a new number, which tells this submission from the ones before."""
         pending = self.by_id[command_id]
         pending.sent = now
         self.last_id += 1
         pending.numbers.append(self.last_id)
         self.command_of[self.last_id] = command_id
-        return Submit(self.last_id, pending.what)
+        return Submit(self.last_id, pending.what, epoch)
 
     def resolved(self, word: Result) -> Answer | None:
         """None: nobody waits for it, or it may still come to another end."""
@@ -107,6 +110,16 @@
             del self.command_of[number]
         return Answer(pending.local, result)
 
+    def withdraw(self, local: int) -> None:
+        """Nobody waits for it any more, so it is not submitted again.
+
+        Whoever asked may have been refused elsewhere meanwhile, and what was refused must not come into
+        force by a late copy.
+        """
+        for command_id, pending in list(self.by_id.items()):
+            if pending.local == local:
+                self.settle(command_id, None)
+
     def expired(self, now: int) -> list[int]:
         return [number for number, one in self.by_id.items() if now - one.at > GIVE_UP_AFTER]
 
@@ -127,7 +140,7 @@
     """At the head.  `rows`, `items`: all that it holds, agreed or not yet."""
     match what:
         case Amend(body):
-            return _decide_order(body, items)
+            return _decide_order(body, rows, items)
         case Read():
             return Decision((), None)
         case Claim():
@@ -148,12 +161,27 @@
     return held[1] if held is not None else None
 
 
-def _decide_order(body: str, items: Mapping[Name, Item]) -> Decision:
+def _decide_order(body: str, rows: Rows, items: Mapping[Name, Item]) -> Decision:
     try:
-        news = effect(read_call(body.encode()), items)
+        order = read_call(body.encode())
     except Invalid as why:
         return Decision((), InvalidOrder(str(why)))
-    return Decision(tuple((kind, name, msgspec.to_builtins(item)) for (kind, name), item in news.items()))
+    decision = orders.decide(order, items, partial(_history, rows))
+    news: list[Row] = [
+        (kind, name, msgspec.to_builtins(item)) for (kind, name), item in decision.items.items()
+    ]
+    for name, history in decision.histories.items():
+        news.append((HISTORY, _history_name(name), msgspec.to_builtins(history)))
+    return Decision(tuple(news), decision.result)
+
+
+def _history_name(name: Name) -> str:
+    return " ".join(name)
+
+
+def _history(rows: Rows, name: Name) -> orders.History:
+    held = rows.get((HISTORY, _history_name(name)))
+    return msgspec.convert(held[1], orders.History) if held is not None else orders.History()
 
 
 def _decide_claim(claim: Claim, rows: Rows) -> Decision:
--- a/brackengate/lighthouse/control.py
+++ b/brackengate/lighthouse/control.py
@@ -30,14 +30,16 @@
 
 
 class Asks(Protocol):
-    def ask(self, what: Command, done: Callable[[CommandResult | None], None]) -> None: ...
+    def ask(self, what: Command, done: Callable[[CommandResult | None], None]) -> int: ...
+
+    def withdraw(self, number: int) -> None: ...
 
 
 class Control:
     most_body = MOST_BODY
 
     def __init__(self, asks: Asks) -> None:
-        self._pending = asks
+        self._asks = asks
 
     def begin(self, arrival: Arrival, connection: CallerConnection) -> None:
         call, _ = rpc(arrival.target)
@@ -45,8 +47,7 @@
             connection.hold(lambda: None)
             collect(arrival, lambda body: self._amend(body, connection))
         elif call == "config.read":
-            connection.hold(lambda: None)
-            self._pending.ask(Read(), lambda result: self._answer(connection, "config.read", result))
+            self._ask(Read(), connection, call)
         else:
             raise Bad(404, "no such call")
 
@@ -56,7 +57,12 @@
         except UnicodeDecodeError:
             connection.respond(400, _error("not UTF-8"), JSON)
             return
-        self._pending.ask(Amend(text), lambda result: self._answer(connection, "config.amend", result))
+        self._ask(Amend(text), connection, "config.amend")
+
+    def _ask(self, what: Command, connection: CallerConnection, call: str) -> None:
+        """A caller that goes may be refused elsewhere: it is not pursued for it any more."""
+        number = self._asks.ask(what, lambda result: self._answer(connection, call, result))
+        connection.hold(lambda: self._asks.withdraw(number))
 
     def _answer(self, connection: CallerConnection, call: str, result: CommandResult | None) -> None:
         status, body = answer_to(result)
--- /dev/null
+++ b/brackengate/lighthouse/orders.py
@@ -0,0 +1,185 @@
+"""What becomes of an order of the operator, by all that was acknowledged before it.  Pure.
+
+An order is acknowledged as a whole, together with a record of each of its items: the version and a digest of
+its content (`signals/contents.py`).  The record of the version that holds is the item itself; those of
+versions that were overtaken stand in the item's history, a row of the log like any other, which every
+replica stores and no follower gets.  So of two orders that give an item different contents under one version
+the second one finds the record of the first, and one that was acknowledged finds its own, whatever has
+become of its services and places since.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from enum import Enum, auto
+
+import msgspec
+
+from brackengate.signals.contents import digest
+from brackengate.signals.items import Invalid, Item, Name, NamedItem, Order, route
+from brackengate.signals.words import (
+    CommandDone,
+    ConflictingOrder,
+    InvalidOrder,
+    UndecidedOrder,
+)
+
+REMEMBERED = 256  # overtaken versions of one item whose digests are kept
+NOTHING_FORGOTTEN = -1
+
+
+class History(msgspec.Struct, frozen=True, array_like=True):
+    """The overtaken versions of one item that were acknowledged.
+
+    Of versions above `forgotten` every one that was acknowledged is there; of others nothing is known.
+    """
+
+    forgotten: int = NOTHING_FORGOTTEN
+    digests: str = ""  # as in "5=DIGEST 7=DIGEST": one text takes a tenth of the memory of a map
+
+    def versions(self) -> dict[int, str]:
+        pairs = (one.partition("=") for one in self.digests.split())
+        return {int(version): found for version, _, found in pairs}
+
+    def with_versions(self, added: Mapping[int, str]) -> History:
+        """The highest ones are kept."""
+        known = sorted({**self.versions(), **added}.items())
+        gone, kept = known[:-REMEMBERED], known[-REMEMBERED:]
+        forgotten = gone[-1][0] if gone else self.forgotten
+        return History(forgotten, " ".join(f"{version}={found}" for version, found in kept))
+
+
+HistoryOf = Callable[[Name], History]
+
+
+class Verdict(Enum):
+    """How one item of an order stands to what was acknowledged."""
+
+    NEWER = auto()  # than what holds: it takes effect
+    ACKNOWLEDGED = auto()  # before, with this content
+    OVERTAKEN = auto()  # by a higher version, before it ever came
+    CONFLICTING = auto()  # another content was acknowledged under its version
+    FORGOTTEN = auto()  # too old to know
+
+
+NEVER_TAKEN = (Verdict.NEWER, Verdict.OVERTAKEN)  # nothing was acknowledged under that version
+
+
+@dataclass(frozen=True, slots=True)
+class Judged:
+    name: Name
+    item: Item
+    verdict: Verdict
+
+    def __str__(self) -> str:
+        return f"{self.name[0]} {self.name[1][:40]!r} r{self.item.version}"
+
+
+OrderResult = CommandDone | InvalidOrder | ConflictingOrder | UndecidedOrder
+
+
+@dataclass(frozen=True, slots=True)
+class OrderDecision:
+    """`items` come into force, with the histories of all names whose record has changed."""
+
+    result: OrderResult
+    items: Mapping[Name, Item]
+    histories: Mapping[Name, History]
+
+
+def decide(order: Order, held: Mapping[Name, Item], history_of: HistoryOf) -> OrderDecision:
+    """Taken whole, with its records, or refused whole.
+
+    An order that was taken has a record, or forgotten versions, for each of its items ever after.  So what
+    is refused here was never taken: by a conflict, or by an item that was never acknowledged.
+    """
+    judged = [Judged(name, item, _verdict(name, item, held, history_of)) for name, item in order]
+    refusal = _by_records(judged)
+    if refusal is not None:
+        return OrderDecision(refusal, {}, {})
+    fresh = [one for one in judged if one.verdict in NEVER_TAKEN]
+    items = _effective(fresh)
+    try:
+        _check_outcome(fresh, {**held, **items})
+    except Invalid as why:
+        return OrderDecision(InvalidOrder(str(why)), {}, {})
+    return OrderDecision(CommandDone(), items, _records(fresh, items, held, history_of))
+
+
+def _verdict(name: Name, item: Item, held: Mapping[Name, Item], history_of: HistoryOf) -> Verdict:
+    holds = held.get(name)
+    if holds is None or item.version > holds.version:
+        return Verdict.NEWER
+    if item.version == holds.version:
+        known: str | None = digest(name[0], holds)
+    else:
+        history = history_of(name)
+        known = history.versions().get(item.version)
+        if known is None:
+            return Verdict.FORGOTTEN if item.version <= history.forgotten else Verdict.OVERTAKEN
+    return Verdict.ACKNOWLEDGED if known == digest(name[0], item) else Verdict.CONFLICTING
+
+
+def _by_records(judged: Iterable[Judged]) -> ConflictingOrder | UndecidedOrder | None:
+    """Why what was acknowledged before, or is forgotten, stands against the order."""
+    conflicting = [str(one) for one in judged if one.verdict is Verdict.CONFLICTING]
+    if conflicting:
+        return ConflictingOrder(f"acknowledged with other content before: {', '.join(conflicting)}")
+    forgotten = [str(one) for one in judged if one.verdict is Verdict.FORGOTTEN]
+    if not forgotten:
+        return None
+    reason = f"overtaken too long ago to know what it was: {', '.join(forgotten)}"
+    if any(one.verdict in NEVER_TAKEN for one in judged):
+        return ConflictingOrder(reason)
+    return UndecidedOrder(reason)
+
+
+def _effective(fresh: Iterable[Judged]) -> dict[Name, Item]:
+    """The highest version of a name holds."""
+    found: dict[Name, Item] = {}
+    for one in fresh:
+        if one.verdict is Verdict.NEWER:
+            before = found.get(one.name)
+            if before is None or before.version < one.item.version:
+                found[one.name] = one.item
+    return found
+
+
+def _check_outcome(fresh: list[Judged], after: Mapping[Name, Item]) -> None:
+    """`Invalid` where the outcome holds two routes at one place, or a route's service is not known in it.
+
+    The service is asked of every item that was never acknowledged, also of an overtaken one: an order that
+    names an unknown service is invalid whatever its version.  Nothing is asked of what was acknowledged.
+    """
+    if not fresh:
+        return
+    services = {name for (kind, name), item in after.items() if kind == "plant" and item.body is not None}
+    standing = [item for (kind, _), item in after.items() if kind == "route" and item.body is not None]
+    coming = [one.item for one in fresh if one.name[0] == "route" and one.item.body is not None]
+    places: dict[tuple[str, str], str] = {}
+    for it in map(route, standing):
+        if places.setdefault((it.host, it.prefix), it.name) != it.name:
+            raise Invalid(f"two routes at {it.host}{it.prefix}")
+    for it in map(route, [*standing, *coming]):
+        for part in it.parts:
+            if part.plant not in services:
+                raise Invalid(
+                    f"route {it.name[:40]!r} names the service {part.plant[:40]!r}, which is not known"
+                )
+
+
+def _records(
+    fresh: Iterable[Judged], items: Mapping[Name, Item], held: Mapping[Name, Item], history_of: HistoryOf
+) -> dict[Name, History]:
+    """What of the order is overtaken already, and what it overtakes."""
+    added: dict[Name, list[NamedItem]] = {}
+    for one in fresh:
+        if items.get(one.name) is not one.item:
+            added.setdefault(one.name, []).append((one.name, one.item))
+    for name in items.keys() & held.keys():
+        added.setdefault(name, []).append((name, held[name]))
+    return {
+        name: history_of(name).with_versions({item.version: digest(name[0], item) for _, item in found})
+        for name, found in added.items()
+    }
--- a/brackengate/lighthouse/replica.py
+++ b/brackengate/lighthouse/replica.py
@@ -101,6 +101,9 @@
     def ask(self, what: Command, local: int, now: int) -> list[Action]:
         return self.chain.ask(what, local, now)
 
+    def withdraw(self, local: int) -> None:
+        self.chain.withdraw(local)
+
     def set_disk_healthy(self, disk_healthy: bool) -> None:
         """Whether the disk takes what it is given, in time."""
         self.agreement.disk_healthy = disk_healthy
--- a/brackengate/lighthouse/role.py
+++ b/brackengate/lighthouse/role.py
@@ -266,11 +266,18 @@
         elif isinstance(word, Seen):
             self._watchroom.seen(follower.lines, word)
 
-    def ask(self, what: Command, done: Callable[[Any], None]) -> None:
-        """`done` gets the result once; None: it is not known what becomes of it."""
+    def ask(self, what: Command, done: Callable[[Any], None]) -> int:
+        """`done` gets the result once; None: it is not known what becomes of it.  A number to withdraw it."""
         self._last_ask += 1
-        self._pending[self._last_ask] = done
-        self._carry_out(self.replica.ask(what, self._last_ask, self.now()))
+        number = self._last_ask
+        self._pending[number] = done
+        self._carry_out(self.replica.ask(what, number, self.now()))
+        return number
+
+    def withdraw(self, number: int) -> None:
+        """Whoever asked has gone."""
+        if self._pending.pop(number, None) is not None:
+            self.replica.withdraw(number)
 
     # --- followers
 
--- a/brackengate/lighthouse/watchroom.py
+++ b/brackengate/lighthouse/watchroom.py
@@ -58,7 +58,7 @@
         self,
         replica: Replica,
         followers: Mapping[Lines, Follower],
-        ask: Callable[[Command, Callable[[Any], None]], None],
+        ask: Callable[[Command, Callable[[Any], None]], object],
         now: Callable[[], int],
     ) -> None:
         self._replica, self._followers, self._ask, self._now = replica, followers, ask, now
--- a/brackengate/signals/items.py
+++ b/brackengate/signals/items.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 import msgspec
@@ -17,6 +17,8 @@
 REVISION = re.compile(r"r([0-9]{1,18})")
 KINDS = ("idempotent", "effectful", "keyed")
 
+MOST_DEPTH = 32  # of an item's body; deeper ones could be taken and then not be written
+
 Name = tuple[str, str]  # kind of item, name of item
 
 
@@ -32,6 +34,10 @@
     body: dict[str, Any] | None = None
 
 
+NamedItem = tuple[Name, Item]
+Order = tuple[NamedItem, ...]  # a name may stand in it under several versions
+
+
 class Part(msgspec.Struct, frozen=True):
     """A service among those that a route goes to, and its weight."""
 
@@ -182,71 +188,64 @@
     return Plant(it.name, it.health_path, it.conn_limit, it.deduplicates)
 
 
-def read_call(body: bytes) -> dict[Name, Item]:
-    """All that one call sets and drops, each item checked on its own; `Invalid` where any is not sound."""
+def read_call(body: bytes) -> Order:
+    """All that one order sets and drops, each item checked on its own; `Invalid` where any is not sound."""
     try:
         call: _Call = msgspec.json.decode(body, type=_Call)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise Invalid(f"the call cannot be read: {error}") from None
-    found: dict[Name, Item] = {}
+    found: dict[tuple[Name, int], Item] = {}
+    for name, item in [*_plants(call), *_limits(call), *_routes(call)]:
+        if any(name == other for other, _ in found):
+            raise Invalid(f"{name[0]} {name[1][:40]!r} stands twice in one call")
+        found[name, item.version] = item
+    for kind, dropped in (("route", call.remove.routes), ("plant", call.remove.plants)):
+        for one in dropped:
+            version = _version(one.revision)
+            found.setdefault(((kind, one.name), version), Item(version))
+    return tuple((name, item) for (name, _), item in found.items())
 
-    def add(kind: str, name: str, item: Item) -> None:
-        if (kind, name) in found:
-            raise Invalid(f"{kind} {name[:40]!r} stands twice in one call")
-        found[kind, name] = item
 
-    def sound(kind: str, text: object, name: str, item: Item) -> None:
-        if not isinstance(text, str):
-            raise Invalid(f"{kind}: Revision is missing")
-        add(kind, name, Item(_version(text), item.host, item.body))
+def _sound(item: Item) -> Item:
+    """With the version that its body names."""
+    assert item.body is not None
+    text = item.body.get("Revision")
+    if not isinstance(text, str):
+        raise Invalid("an item's Revision is missing")
+    if _depth_over(item.body, MOST_DEPTH):
+        raise Invalid(f"an item is nested more than {MOST_DEPTH} deep")
+    return Item(_version(text), item.host, item.body)
 
+
+def _depth_over(value: object, most: int) -> bool:
+    if not isinstance(value, dict | list):
+        return False
+    inner = value.values() if isinstance(value, dict) else value
+    return most == 0 or any(_depth_over(one, most - 1) for one in inner)
+
+
+def _plants(call: _Call) -> Iterator[NamedItem]:
     for raw in call.apply.plants:
         item = Item(0, body=raw)
-        sound("plant", raw.get("Revision"), plant(item).name, item)
+        yield ("plant", plant(item).name), _sound(item)
+
+
+def _limits(call: _Call) -> Iterator[NamedItem]:
     if call.apply.limits is not None:
-        sound("limits", call.apply.limits.get("Revision"), "", Item(0, body=call.apply.limits))
+        yield ("limits", ""), _sound(Item(0, body=call.apply.limits))
+
+
+def _routes(call: _Call) -> Iterator[NamedItem]:
     places: dict[tuple[str, str], str] = {}
     for host in call.apply.hosts:
         if not host.host:
             raise Invalid("a Host is empty")
         for raw in host.paths:
             item = Item(0, host.host, raw)
-            it = route(item)
-            if places.setdefault((it.host, it.prefix), it.name) != it.name:
-                raise Invalid(f"two routes at {it.host}{it.prefix}")
-            sound("route", raw.get("Revision"), it.name, item)
-    for kind, dropped in (("route", call.remove.routes), ("plant", call.remove.plants)):
-        for one in dropped:
-            version = _version(one.revision)
-            held = found.get((kind, one.name))
-            if held is None or held.version < version:
-                found[kind, one.name] = Item(version)
-    return found
-
-
-def effect(call: Mapping[Name, Item], held: Mapping[Name, Item]) -> dict[Name, Item]:
-    """What of a call has effect on what is held: the highest version of a name holds.
-
-    `Invalid` where the outcome would hold two routes at one place, or a route to a service that is not known.
-    """
-    news = {
-        name: item for name, item in call.items() if name not in held or item.version > held[name].version
-    }
-    after = {**held, **news}
-    plants = {name for (kind, name), item in after.items() if kind == "plant" and item.body is not None}
-    places: dict[tuple[str, str], str] = {}
-    routes = [item for (kind, _), item in after.items() if kind == "route" and item.body is not None]
-    called = [item for (kind, _), item in call.items() if kind == "route" and item.body is not None]
-    for it in map(route, routes):
-        if places.setdefault((it.host, it.prefix), it.name) != it.name:
-            raise Invalid(f"two routes at {it.host}{it.prefix}")
-    for it in map(route, [*routes, *called]):
-        for part in it.parts:
-            if part.plant not in plants:
-                raise Invalid(
-                    f"route {it.name[:40]!r} names the service {part.plant[:40]!r}, which is not known"
-                )
-    return news
+            read = route(item)
+            if places.setdefault((read.host, read.prefix), read.name) != read.name:
+                raise Invalid(f"two routes at {read.host}{read.prefix}")
+            yield ("route", read.name), _sound(item)
 
 
 def layout(items: Iterable[tuple[Name, Item]]) -> dict[str, Any]:
--- a/brackengate/signals/words.py
+++ b/brackengate/signals/words.py
@@ -244,10 +244,15 @@
 
 
 class Submit(Word, frozen=True, tag="do"):
-    """To the head: an ask that came to another member."""
+    """To the head: a command that came to another replica.
+
+    `epoch`: of the view in which it was submitted.  One that lay in a queue until the view was another one
+    is not taken: its sender has submitted it anew, or has told its caller nothing and been told to stop.
+    """
 
     id: int
     what: Command
+    epoch: int = 0
 
 
 class Result(Word, frozen=True, tag="done"):
