--- a/brackengate/installation/units.py
+++ b/brackengate/installation/units.py
@@ -50,7 +50,7 @@
 
 
 def exact_duration(text: object) -> str:
-    """Microseconds, not rounded and alike for equal times ("1500000", "0.25"); ValueError as above."""
+    """Microseconds, not rounded and alike for equal times ("1500000", "0.25"); or ValueError."""
     duration(text)
     assert isinstance(text, str)
     found = _DURATION.fullmatch(text)
