--- /dev/null
+++ b/tests/lighthouse/test_orders_drawn.py
@@ -0,0 +1,182 @@
+"""Drawn histories of two operators and a core in trouble, judged by what the operators saw alone.
+
+Up to eight orders are under way at once.  Versions are drawn from a few, so that many orders set one item to
+different contents under one version; every order that was acknowledged is sent again to all replicas, in any
+order, while services, places and views change.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import pytest
+from corekit import Core, Host
+from operators import Operator, Sent, order, plant, route
+
+from brackengate.signals.words import Configuration, Read
+
+S = 1_000_000
+AT_ONCE = 8
+ORDERS = 90
+ROUTES, SERVICES = ("a", "b", "c"), ("p", "q", "s")
+FIRST = order(
+    *(route(name, 1) for name in ROUTES), plants=[plant(name, 1) for name in SERVICES], drop=[("gone", 1)]
+)
+Item = tuple[str, str, int]
+
+
+def items_of(body: str) -> Iterator[tuple[Item, str]]:
+    """Kind, name and version of each item of an order, with its content as text."""
+    call = json.loads(body)
+    for one in call["Apply"]["Plants"]:
+        yield ("plant", one["Name"], int(one["Revision"][1:])), json.dumps(one)
+    for host in call["Apply"]["Hosts"]:
+        for one in host["Paths"]:
+            yield ("route", one["Name"], int(one["Revision"][1:])), json.dumps(one)
+    for kind, listed in (("route", "Routes"), ("plant", "Plants")):
+        for one in call["Remove"][listed]:
+            yield (kind, one["Name"], int(one["Revision"][1:])), "dropped"
+
+
+class Seen:
+    """What the operators saw, and what must hold of it."""
+
+    def __init__(self) -> None:
+        self.confirmed: dict[Item, str] = {}
+        self.refused: set[tuple[Item, str]] = set()
+        self.ends: dict[int, int] = {}
+
+    def ended(self, sent: Sent, sound: bool) -> None:
+        self.ends[sent.status] = self.ends.get(sent.status, 0) + 1
+        if sent.status != 200:
+            self.refused.update(items_of(sent.body))
+            return
+        assert sound, f"an invalid order was acknowledged: {sent.body}"
+        for item, content in items_of(sent.body):
+            assert self.confirmed.setdefault(item, content) == content, f"two were confirmed as {item}"
+
+    def ended_again(self, sent: Sent) -> None:
+        assert sent.status == 200, f"taken, sent again and refused with {sent.status}: {sent.body}"
+
+    def read_back(self, content: dict[str, Any]) -> None:
+        """The highest confirmed version of each item holds, or one of which nobody was told."""
+        held = dict(items_of(json.dumps({"Apply": content, "Remove": {"Routes": [], "Plants": []}})))
+        versions = {item[:2]: item[2] for item in held}
+        for item, text in held.items():
+            assert self.confirmed.get(item, text) == text, f"{item} is not what was confirmed"
+            assert item in self.confirmed or (item, text) not in self.refused, f"{item} was refused"
+        for kind, name, version in self.confirmed:
+            newest = max(v for k, n, v in self.confirmed if (k, n) == (kind, name))
+            if self.confirmed[kind, name, newest] != "dropped":
+                assert versions.get((kind, name), -1) >= version, f"{kind} {name} r{version} is gone"
+
+
+class Play:
+    def __init__(self, seed: int, members: int) -> None:
+        self.core = Core([f"10.0.0.{n + 1}:80" for n in range(members)], seed)
+        self.rng, self.seen = random.Random(f"orders {seed}"), Seen()
+        self.hosts = list(self.core.hosts.values())
+        self.operators = [Operator(self.core, seed), Operator(self.core, seed + 1000)]
+        self.under_way = self.count = self.again = 0
+        self.core.run(2 * S)
+        self._send(FIRST, True)
+        self.core.run(4 * S)
+        assert self.seen.ends == {200: 1}
+        self._next()
+        self.core.later(S, self._fault)
+
+    def _next(self) -> None:
+        if self.count < ORDERS:
+            self.core.later(self.rng.randrange(300_000), self._next)
+            if self.under_way < AT_ONCE:
+                self.count += 1
+                sound = self.rng.random() > 0.1
+                self._send(self._draw(sound), sound)
+
+    def _draw(self, sound: bool) -> str:
+        """Two of three are of one item; contents differ by their time-out or path."""
+        rng, version = self.rng, 2 + self.count // 6 + self.rng.randrange(-2, 3)
+        mark = rng.randrange(1000)
+        routes = [
+            route(name, max(1, version), rng.choice(SERVICES), f"/{rng.choice(ROUTES)}/", f"{500 + mark}ms")
+            for name in rng.sample(ROUTES, rng.choice((1, 1, 2)))
+        ]
+        if not sound:
+            routes[0]["Plant"] = "nobody"
+            return order(*routes)
+        match rng.randrange(6):
+            case 0:
+                return order(drop=[(routes[0]["Name"], max(1, version))])
+            case 1:
+                return order(drop_plants=[(rng.choice(SERVICES), max(1, version))])
+            case 2:
+                return order(plants=[plant(rng.choice(SERVICES), max(1, version), f"/{mark}")])
+            case 3:  # a service and its route at once
+                return order(*routes, plants=[plant(routes[0]["Plant"], max(1, version), f"/{mark}")])
+        return order(*routes)
+
+    def _send(self, body: str, sound: bool) -> None:
+        """By one of the two, until its call ends."""
+        self.under_way += 1
+        sent = self.rng.choice(self.operators).send(body)
+        sent.on_end.append(lambda: self._ended(sent, sound))
+
+    def _ended(self, sent: Sent, sound: bool) -> None:
+        self.under_way -= 1
+        self.seen.ended(sent, sound)
+        if sent.status == 200:
+            hosts = self.rng.sample(self.hosts, len(self.hosts))
+            for host in hosts:
+                self.core.later(self.rng.randrange(12 * S), lambda host=host: self._again(sent.body, host))
+
+    def _again(self, body: str, host: Host) -> None:
+        self.again += 1
+        sent = self.rng.choice(self.operators).send(body, [host])
+        sent.on_end.append(lambda: self.seen.ended_again(sent))
+
+    def _fault(self) -> None:
+        if self.core.now > 22 * S:
+            return
+        rng, host = self.rng, self.rng.choice(self.hosts)
+        lasts = rng.randrange(300_000, 2_500_000)
+        self._strike(rng.choice(("down", "wipe", "cut", "mute", "freeze", "all")), host, lasts)
+        self.core.later(lasts + 3 * S, self._fault)
+
+    def _strike(self, kind: str, host: Host, lasts: int) -> None:
+        out = [(host.name, other.name) for other in self.hosts if other is not host]
+        starts: Callable[[], None] = host.start
+        if kind in ("down", "wipe"):
+            host.stop(wipe=kind == "wipe")
+            self.core.later(lasts, starts)
+        elif kind in ("cut", "mute"):
+            self.core.cut([*out, *((b, a) for a, b in out if kind == "cut")])
+            self.core.later(lasts, self.core.heal)
+        elif kind == "freeze":
+            host.frozen_until = self.core.now + lasts
+        else:
+            for one in self.hosts:
+                one.stop()
+                self.core.later(self.rng.randrange(100_000, S), one.start)
+
+    def finish(self) -> None:
+        self.core.run(48 * S)
+        assert self.under_way == 0, "orders without an answer"
+        for host in self.hosts:
+            found: list[Any] = []
+            host.ask(Read(), found.append)
+            self.core.run(self.core.now + S)
+            assert isinstance(found[0], Configuration)
+            self.seen.read_back(found[0].content)
+
+
+@pytest.mark.parametrize("members", [3, 4])
+@pytest.mark.parametrize("seed", range(5))
+def test_what_operators_see_of_drawn_histories(members: int, seed: int) -> None:
+    play = Play(seed, members)
+    play.finish()
+    ends = play.seen.ends
+    assert ends[200] > 20 and ends[400] > 5 and ends[409] > 5, ends  # each of them came about
+    assert play.again >= 20 * members
