Test waiting commands, results on the wire and a caller that goes

Need: pending commands, typed results as they are sent, and a caller that goes had no tests. Change: those.

--- /dev/null
+++ b/tests/lighthouse/test_commands_pending.py
@@ -0,0 +1,120 @@
+"""Commands that wait for their results, and the operator's calls behind them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import pytest
+
+from brackengate.http.message import Arrival
+from brackengate.lighthouse.actions import Answer
+from brackengate.lighthouse.commands import GIVE_UP_AFTER, RESUBMIT_AFTER, PendingCommands
+from brackengate.lighthouse.control import Control, answer_to
+from brackengate.signals.words import (
+    Amend,
+    Command,
+    CommandDone,
+    CommandResult,
+    Configuration,
+    ConflictingOrder,
+    HeldBy,
+    InvalidOrder,
+    Line,
+    Read,
+    Result,
+    UndecidedOrder,
+)
+
+ORDER = Amend("{}")
+REFUSED: list[CommandResult] = [
+    HeldBy("g", "1"),
+    InvalidOrder("why"),
+    ConflictingOrder("why"),
+    UndecidedOrder("why"),
+]
+
+
+@pytest.mark.parametrize("refused", REFUSED)
+def test_a_refusal_of_an_earlier_submission_is_no_result(refused: CommandResult) -> None:
+    """The later one may be taken."""
+    commands = PendingCommands(100)
+    command = commands.add(ORDER, 7, 0)
+    first, second = commands.submission(command, 1, 0).id, commands.submission(command, 1, 0).id
+    assert commands.resolved(Result(first, refused)) is None
+    assert commands.resolved(Result(second, refused)) == Answer(7, refused)
+    assert commands.resolved(Result(second, refused)) is None
+    assert not commands.by_id and not commands.command_of
+
+
+def test_an_acknowledgement_of_any_submission_is_the_result() -> None:
+    commands = PendingCommands(100)
+    command = commands.add(ORDER, 7, 0)
+    first = commands.submission(command, 1, 0).id
+    commands.submission(command, 2, 0)
+    assert commands.resolved(Result(first, CommandDone())) == Answer(7, CommandDone())
+
+
+def test_a_command_is_submitted_again_and_then_given_up() -> None:
+    commands = PendingCommands(100)
+    command = commands.add(ORDER, 7, 0)
+    commands.submission(command, 1, 0)
+    assert commands.due(RESUBMIT_AFTER) == []
+    assert commands.due(RESUBMIT_AFTER + 1) == [command]
+    assert commands.expired(GIVE_UP_AFTER) == []
+    assert commands.expired(GIVE_UP_AFTER + 1) == [command]
+
+
+@pytest.mark.parametrize("result", [*REFUSED, CommandDone(), Configuration({"Plants": []}), None])
+def test_a_result_is_read_as_it_was_written(result: CommandResult | None) -> None:
+    assert msgspec.json.decode(msgspec.json.encode(Result(5, result)), type=Line) == Result(5, result)
+
+
+@pytest.mark.parametrize(
+    ("result", "status"),
+    [
+        (CommandDone(), 200),
+        (Configuration({"Plants": []}), 200),
+        (InvalidOrder("why"), 400),
+        (ConflictingOrder("why"), 409),
+        (UndecidedOrder("why"), 503),
+        (None, 503),
+    ],
+)
+def test_what_an_operator_is_answered(result: CommandResult | None, status: int) -> None:
+    """400 and 409 end its call; after a 503 it is sent again."""
+    assert answer_to(result)[0] == status
+
+
+class Asks:
+    """Stands for the replica's process."""
+
+    def __init__(self) -> None:
+        self.asked: list[Command] = []
+        self.withdrawn: list[int] = []
+
+    def ask(self, what: Command, done: Callable[[Any], None]) -> int:
+        self.asked.append(what)
+        return len(self.asked)
+
+    def withdraw(self, number: int) -> None:
+        self.withdrawn.append(number)
+
+
+class Connection:
+    def hold(self, gone: Callable[[], None]) -> None:
+        self.gone = gone
+
+
+def arrival(call: str) -> Arrival:
+    return Arrival(b"POST", b"/v1/rpc?call=" + call.encode(), [], b"{}", True, 0)
+
+
+def test_an_order_whose_caller_goes_is_withdrawn() -> None:
+    asks, connection = Asks(), Connection()
+    Control(asks).begin(arrival("config.amend"), connection)  # type: ignore[arg-type]
+    Control(asks).begin(arrival("config.read"), Connection())  # type: ignore[arg-type]
+    assert asks.asked == [ORDER, Read()]
+    connection.gone()
+    assert asks.withdrawn == [1]
--- a/tests/lighthouse/test_orders.py
+++ b/tests/lighthouse/test_orders.py
@@ -138,9 +138,10 @@
     def test_with_an_item_that_it_overtakes_itself(self) -> None:
         """The highest version of a name holds; both are acknowledged, and both are remembered."""
         both = order(route("new", 5), drop=[("new", 7)])
-        held = Held(FIRST, both, both)
+        held = Held(FIRST, both)
         self.assertThat(held["new"], Equals("r7 dropped"))
         self.assertThat(held.send(order(route("new", 5, cutoff=OTHER))), Equals("conflict"))
+        self.assertThat(held.send(both), Equals("done"))
 
     def test_what_was_refused_is_taken_once_it_is_valid(self) -> None:
         held, early = Held(FIRST), order(route("new", 5, to="later"))
