--- a/brackengate/signals/items.py
+++ b/brackengate/signals/items.py
@@ -195,9 +195,11 @@
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise Invalid(f"the call cannot be read: {error}") from None
     found: dict[tuple[Name, int], Item] = {}
+    names: set[Name] = set()
     for name, item in [*_plants(call), *_limits(call), *_routes(call)]:
-        if any(name == other for other, _ in found):
+        if name in names:
             raise Invalid(f"{name[0]} {name[1][:40]!r} stands twice in one call")
+        names.add(name)
         found[name, item.version] = item
     for kind, dropped in (("route", call.remove.routes), ("plant", call.remove.plants)):
         for one in dropped:
