--- a/brackengate/emulator/mesh/order_troubles.py
+++ b/brackengate/emulator/mesh/order_troubles.py
@@ -44,8 +44,9 @@
         one, other = self._two_contents()
         number = self._operators.next_version(name)
         first = self._operators.send([(name, one)], version=number)
-        self._operators.send([(name, other)], version=number, avoid=first.address)
+        second = self._operators.send([(name, other)], version=number, avoid=first.address)
         self._may_be_refused(first)
+        self._may_be_refused(second)
 
     def resend(self) -> None:
         """An order that was acknowledged earlier is sent again, whatever came after it."""
--- a/tests/emulator/test_mesh_worst_days.py
+++ b/tests/emulator/test_mesh_worst_days.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import random
+from typing import Any
 
 import msgspec
 import pytest
@@ -17,6 +18,7 @@
 from brackengate.emulator.mesh.play import Played, play
 from brackengate.emulator.mesh.scenario import faults_of, load
 from brackengate.installation.units import Duration
+from brackengate.lighthouse import orders
 from brackengate.lighthouse.replica import Replica
 from brackengate.lighthouse.role import Lighthouse
 
@@ -109,6 +111,24 @@
     assert "CONFIG" in played("after-sent.toml").rules
 
 
+def test_a_second_order_under_one_version_that_is_taken_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Whether another content was acknowledged under its version is not asked."""
+    monkeypatch.setattr(orders, "_by_records", lambda judged: None)
+    assert "CONFIG" in first_faults("one-number", 3, 20).rules
+
+
+def test_an_order_that_is_judged_anew_when_it_comes_again_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Whether it was acknowledged before is not asked."""
+    verdict = orders._verdict
+
+    def forgetful(*given: Any) -> orders.Verdict:
+        found = verdict(*given)
+        return orders.Verdict.OVERTAKEN if found is orders.Verdict.ACKNOWLEDGED else found
+
+    monkeypatch.setattr(orders, "_verdict", forgetful)
+    assert "CONFIG" in first_faults("lost-acks", 2, 9).rules
+
+
 # --- the checkers, each on a history that breaks its rule
 
 
