Check whose an answer is at both hops, and send nothing that was given up on

Found by review: the proxy beside the client took any answer of the other proxy without a look at its id, also failures; the other one took a refusal without an id for this call's, and a 408, 429 or 503 without the not-executed header went back as it was, which is a promise; a second copy of an answer that turned a call away could stand for the answer to its next sending on that connection; a proxy that thawed sent what had been given up on; a claim kept for more than one window was run under in the second one, after which the core forgets it; an upstream's Keep-Alive was not heeded; a run whose caller had gone did not hold up the end of its process; a dial given up in the turn in which it stood left a connection behind. Change: pilot/verdict.py holds both checks; Result.astray closes what is out of step, in place of every reset; a call doesn't go again on a connection that turned it away; a job asks whether it is still wanted once its connection stands; Server.stood_still tells of a freeze, and only then the kernel is asked for a caller's end; a claim older than a window is lifted before it is used; a relayed turn-away by an upstream counts as sent. Test changed: a 421 without an id was taken for this call's; now it is nobody's and proves nothing.

--- a/brackengate/net/http.py
+++ b/brackengate/net/http.py
@@ -79,6 +79,8 @@
 
     def lost(self, connection: CallerConnection) -> None: ...
 
+    def stood_still(self) -> bool: ...
+
     def complain(self, bad: Bad) -> None: ...
 
 
@@ -110,6 +112,21 @@
         except OSError:  # nothing there, or it has gone
             return False
 
+    def abandoned(self) -> bool:
+        """Whether the caller has left and the loop has not met that yet.
+
+        Guards against a process that thaws and sends on what was given up while it was frozen.  Only then is
+        the kernel asked: a call of the system for each request has its price.
+        """
+        if self.sock is None or not self._server.stood_still():
+            return False
+        try:
+            return not self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def close(self, at_once: bool = False) -> None:
         self._do(self.machine.close(self._clock.now(), at_once))
 
--- a/brackengate/net/node.py
+++ b/brackengate/net/node.py
@@ -42,7 +42,7 @@
 from brackengate.net.alarms import Alarm, Alarms
 from brackengate.net.observer import Observer
 from brackengate.net.sockets import Address
-from brackengate.net.upstream import Job, Pool, Result, load_report
+from brackengate.net.upstream import Job, Pool, Result, always, load_report
 
 log = logging.getLogger(__name__)
 
@@ -121,6 +121,7 @@
     route: object = None  # what its front's router chose, where there is one
     stream: Body | None = None  # in place of `body`: it is still coming
     in_pieces: bool = False  # whether its answer may be passed on as it comes
+    wanted: Callable[[], bool] = always  # False: its caller has left, though nobody has said so yet
 
     def payload(self, remaining_ms: int, upstream: str, number: int) -> bytes:
         """What is written for an attempt, up to a body that is still coming."""
@@ -405,7 +406,8 @@
         finish = partial(self._attempt_ended, exchange, number, attempt)
         late = until <= now and not opened
         again = message.stream is None or message.stream.again
-        if exchange.done or address is None or late or not again or number >= self._settings.max_attempts:
+        stopped = exchange.done or late or not again or number >= self._settings.max_attempts
+        if stopped or address is None or not message.wanted():
             finish(Result(Outcome.NOT_SENT))
             return
         remaining = exchange.deadline - exchange.began if opened else until - now
@@ -415,11 +417,23 @@
             wrote = partial(self.observer.attempt_written, exchange.request, number, action.upstream)
         begun = partial(self._answer_begun, exchange, number, attempt) if message.in_pieces else None
         attempt.job = self._pool.start(
-            action.upstream, address, payload, finish, wrote=wrote, body=message.stream, begun=begun
+            action.upstream,
+            address,
+            payload,
+            finish,
+            wrote=wrote,
+            body=message.stream,
+            begun=begun,
+            wanted=partial(self._wanted, exchange, until),
         )
         if not opened:
             attempt.timer = self._alarms.at(until, partial(self._attempt_timed_out, attempt), now)
 
+    def _wanted(self, exchange: Exchange, until: int) -> bool:
+        """Whether what waited for a connection is still to be sent: the process may have stood still."""
+        late = not exchange.open and self.clock.now() >= max(until, exchange.deadline)
+        return not late and exchange.message.wanted()
+
     def _answer_begun(
         self,
         exchange: Exchange,
--- a/brackengate/net/server.py
+++ b/brackengate/net/server.py
@@ -29,6 +29,7 @@
 CROWDED = 0.4  # of the callers' share
 SILENT = 3 * SECOND  # a connection from its start to its first byte
 SWEEP_S = 0.25
+STOOD_STILL = 500_000  # from one sweep to the next: this process was frozen, or starved
 ACCEPT_MOST = 64  # connections taken in one turn of the loop
 ACCEPT_PAUSE_S = 0.02
 NOTICE = 400_000  # the front asks every 0.1 s, and sends new connections for 0.2 s after the first no
@@ -76,6 +77,7 @@
         self._connections: dict[CallerConnection, None] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._accepting, self._wanted = False, True
+        self._swept = self._doubts_until = 0
         self._complaints = 0
         # The rest is for attempts: callers, however many, must not keep those who ask from being served.
         self._share = max(1, min(int(budget.limit * CALLERS_SHARE), room))
@@ -87,6 +89,7 @@
         for sock in self._sockets:
             sock.listen(backlog)
         self._resume()
+        self._swept = self.node.clock.now()
         self._sweep_timer = self.loop.call_later(SWEEP_S, self._sweep)
         return [sock.getsockname()[1] for sock in self._sockets]
 
@@ -144,6 +147,11 @@
             if it.idle and not fresh and not connection.unread():
                 connection.close()
 
+    def stood_still(self) -> bool:
+        """Whether this process has just stood still: what lies unread may come from callers who have left."""
+        now = self.node.clock.now()
+        return now - self._swept > STOOD_STILL or now < self._doubts_until
+
     def close(self) -> None:
         self._sweep_timer.cancel()
         for connection in list(self._connections):
@@ -251,6 +259,9 @@
         if self.draining:
             self._close_idle(DRAIN_SILENT)
         now = self.node.clock.now()
+        if now - self._swept > STOOD_STILL:
+            self._doubts_until = now + STOOD_STILL
+        self._swept = now
         crowded = len(self._connections) > CROWDED * self._share
         idle_for = CROWDED_IDLE if crowded else IDLE
         for connection in list(self._connections):
--- a/brackengate/net/upstream.py
+++ b/brackengate/net/upstream.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import re
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -31,6 +32,8 @@
 STALE = 20_000  # a request on a connection that stood dead is lost within this time, else it is another loss
 TRUST_LEAST = 50_000  # however many are lost, connections that stood idle for less than this are used again
 TRUST_DOUBLES = 10 * SECOND  # the idle time that is trusted doubles in this time
+KEEP_ALIVE = re.compile(rb"timeout=([0-9]{1,6})")
+MOST_TURNED_AWAY = 64  # calls that a connection remembers; beyond that another one is made
 LOAD_FIELDS = {
     "inflight": "in_flight",
     "outstanding": "in_flight",
@@ -51,6 +54,11 @@
     load: LoadReport | None = None
     stale: bool = False  # lost with a connection that had stood idle
     answer: machine.Answered | None = None  # as it came, where whoever judges answers keeps it
+    astray: bool = False  # it is not this request's answer: the connection is out of step, and is closed
+
+
+def always() -> bool:
+    return True
 
 
 def monotonic_us() -> int:
@@ -115,12 +123,14 @@
         "again",
         "begun",
         "body",
+        "call",
         "connection",
         "dial",
         "ended",
         "payload",
         "probe",
         "sink",
+        "wanted",
         "whole",
     )
 
@@ -133,10 +143,14 @@
         body: Body | None = None,
         begun: Begun | None = None,
         whole: int = WHOLE,
+        call: bytes = b"",
+        wanted: Callable[[], bool] = always,
     ) -> None:
         """`wrote`: told once, when the last byte is with the kernel.  `body`: what follows `payload` in
-        pieces.  `begun`: takes an answer of over `whole` bytes in pieces; None: it must be whole."""
-        self.probe = probe
+        pieces.  `begun`: takes an answer of over `whole` bytes in pieces; None: it must be whole.  `call`:
+        the id that its answer will bear.  `wanted`: asked once a connection stands that had to be made, so
+        that what was given up meanwhile is not sent."""
+        self.probe, self.call, self.wanted = probe, call, wanted
         self._wrote = wrote
         self.body, self.begun, self.whole = body, begun, whole
         self.sink: AnswerSink | None = None  # once an answer is passed on
@@ -196,6 +210,9 @@
         self._transport: asyncio.Transport | None = None
         self._kept = 0  # bytes of an answer that is kept until it is whole, as told to the bound
         self.settles = False  # whether more could follow its last answer
+        self.turned_away: set[bytes] = set()  # calls that were not run here
+        self.idle_limit = pool.idle_limit
+        self._keep_alive = b""  # as last told
         self._flow: FlowCounter | None = None  # where somebody looks on
 
     @property
@@ -365,16 +382,31 @@
         self._hold_back(False)  # the caller may not have taken the last piece; the next answer is another's
         self.settles = job is None or not job.probe
         result = self.pool.judge(job.payload, answer) if job is not None else None
-        astray = (
-            result is not None and result.outcome is Outcome.RESET
-        )  # another one's answer: so may the next be
-        if answer.reuse and not self.closing and not astray:
+        if job is not None and result is not None and result.outcome is Outcome.REJECTED and job.call:
+            self.turned_away.add(job.call)
+        self._heed_keep_alive(answer)
+        astray = result is not None and result.astray  # another one's answer: so may the next be
+        crowded = len(self.turned_away) > MOST_TURNED_AWAY
+        if answer.reuse and not (self.closing or astray or crowded):
             self.pool.put_back(self, now)  # before `done`: what it starts may use this connection
         else:
             self.drop()
         if job is not None and result is not None:
             job.finish(result)
 
+    def _heed_keep_alive(self, answer: machine.Answered) -> None:
+        """An upstream's own limit on idle connections, where it tells one, comes before ours.
+
+        Guards against a request that crosses its close: whether that one ran, nobody could tell.
+        """
+        told = answer.fields.get(b"keep-alive", b"")
+        if told == self._keep_alive:
+            return
+        self._keep_alive = told
+        found = KEEP_ALIVE.search(told)
+        theirs = int(int(found[1]) * IDLE_SHARE * SECOND) if found is not None else self.pool.idle_limit
+        self.idle_limit = min(self.pool.idle_limit, theirs)
+
     def break_off(self) -> None:
         """The exchange ends here as if the connection had broken."""
         job = self._job
@@ -394,6 +426,10 @@
             job.finish(Result(Outcome.ERROR if ran else Outcome.CONNECT_FAILED))
 
 
+def _itself(made: Connection) -> Connection:
+    return made
+
+
 class Pool:
     """All connections to upstreams.  The host names upstreams; addresses change beneath them."""
 
@@ -422,8 +458,8 @@
         self._new_socket = wire.socket if wire is not None else unconnected
         self._loop, self._budget = loop, budget
         self._connect_timeout_s = connect_timeout_s
-        self._idle_limit = int(idle_close_s * IDLE_SHARE * SECOND)
-        self._trust, self._trust_at = self._idle_limit, 0  # as of a time
+        self.idle_limit = int(idle_close_s * IDLE_SHARE * SECOND)
+        self._trust, self._trust_at = self.idle_limit, 0  # as of a time
         self._idle: dict[str, list[Connection]] = {}  # by upstream, the warmest last
         self._oldest: dict[Connection, None] = {}  # all idle ones, in the order in which they became so
         self._open: dict[Connection, None] = {}
@@ -443,20 +479,26 @@
         body: Body | None = None,
         begun: Begun | None = None,
         whole: int = WHOLE,
+        call: bytes = b"",
+        wanted: Callable[[], bool] = always,
     ) -> Job:
         """Send on the warmest idle connection, else on a new one.  `done` never comes before this returns.
 
         Guards against bytes behind an answer that come a moment after it: on a connection that is used again
         at once they would be read as the answer to the next request.  Probes' answers, small and made beside
-        the work, are held to settle at once.
+        the work, are held to settle at once.  And against a second copy of an answer that turned this very
+        call away: its id would fit, so the call does not go on that connection again.
         """
-        job, now = Job(payload, done, probe, wrote, body, begun, whole), self.now()
+        job, now = Job(payload, done, probe, wrote, body, begun, whole, call, wanted), self.now()
         settled, trusted = now - self._settle, now - self._trusted(now)
         for connection in self._idle.get(name, [])[::-1]:
             if connection.settles and connection.idle_since > settled:
                 continue
+            if call and call in connection.turned_away:
+                continue
             self._forget_idle(connection)
-            if connection.address == address and connection.idle_since > trusted and connection.usable():
+            fresh = connection.idle_since > max(trusted, now - connection.idle_limit)
+            if connection.address == address and fresh and connection.usable():
                 connection.start(job, now)
                 return job
             connection.drop()
@@ -491,10 +533,10 @@
         self._trust_at = now
 
     def _trusted(self, now: int) -> int:
-        if self._trust >= self._idle_limit:  # as nearly always
-            return self._idle_limit
+        if self._trust >= self.idle_limit:  # as nearly always
+            return self.idle_limit
         doublings = min(60.0, (now - self._trust_at) / TRUST_DOUBLES)
-        return min(self._idle_limit, int(self._trust * 2**doublings))
+        return min(self.idle_limit, int(self._trust * 2**doublings))
 
     def put_back(self, connection: Connection, now: int) -> None:
         if self.wanted.get(connection.name) != connection.address:
@@ -528,6 +570,7 @@
 
     async def _dial(self, job: Job, name: str, address: Address, within_s: float) -> None:
         sock: socket.socket | None = None
+        made: Connection | None = None
         claimed = False
         try:
             claimed = self._budget.claim()
@@ -547,7 +590,7 @@
             made = Connection(self, name, address, sock)
             async with asyncio.timeout(within_s):
                 await self._loop.sock_connect(sock, address)
-                await self._loop.create_connection(lambda: made, sock=sock)
+                await self._loop.create_connection(partial(_itself, made), sock=sock)
             sock = None  # the transport closes it
             self._open[made] = None
             claimed = False
@@ -558,6 +601,8 @@
             return
         finally:
             if sock is not None:
+                if made is not None:
+                    made.drop()  # given up in the turn in which it stood
                 sock.close()
             if claimed:
                 self._budget.free()
@@ -565,6 +610,9 @@
         if job.ended or made.closing:
             made.drop()
             job.broken()
+        elif not job.wanted():
+            made.drop()
+            job.finish(Result(Outcome.NOT_SENT))
         else:
             made.start(job, self.now())
 
@@ -592,9 +640,10 @@
         for connection in [one for one in self._open if one.stalled(now)]:
             log.info("upstream %s stands still in the middle of a body", connection.name)
             connection.break_off()
-        too_old = now - min(self._idle_limit - int(SWEEP_S * SECOND), self._trusted(now))
+        sweep, trusted = int(SWEEP_S * SECOND), self._trusted(now)
         for connection in list(self._oldest):
-            if connection.idle_since > too_old:
-                break
+            own = connection.idle_limit
+            if now - connection.idle_since < min(max(own - sweep, own // 2), trusted):
+                continue
             self._forget_idle(connection)
             connection.drop()
--- a/brackengate/pilot/entry.py
+++ b/brackengate/pilot/entry.py
@@ -27,7 +27,6 @@
     DEADLINE,
     HOP,
     KEY,
-    SEAL,
     TARGET,
     UNRUN,
     Said,
@@ -36,6 +35,7 @@
     hop_of,
     passed_on,
     step_of,
+    turned_down,
 )
 from brackengate.pilot.load import Load, Ticket
 from brackengate.pilot.wake import ID, Wake
@@ -60,27 +60,6 @@
 KEPT_BYTES = 24 << 20  # of answers to operations; one of over MAX_ANSWER is passed on, and not kept
 
 
-def own_judge(payload: bytes, answer: Answered) -> Result:
-    """What an upstream's answer means, by its head: whose it is stands in it."""
-    asked = _value(payload, ATTEMPT)
-    told = answer.fields.get(ATTEMPT.lower())
-    if told is not None and asked is not None and told != asked:
-        return Result(Outcome.RESET)  # another request's answer, in place of this one's
-    if UNRUN.lower() in answer.fields or answer.status == 421:
-        return Result(Outcome.REJECTED, answer=answer)
-    if answer.status < 300 and (SEAL.lower() not in answer.fields or told != asked):
-        return Result(Outcome.ERROR)  # a success that nobody has put a seal to
-    return Result(Outcome.OK, answer=answer)
-
-
-def _value(head: bytes, name: bytes) -> bytes | None:
-    at = head.lower().find(b"\r\n" + name.lower() + b":")
-    if at < 0 or at > head.find(b"\r\n\r\n"):
-        return None
-    start = at + len(name) + 3
-    return head[start : head.index(b"\r\n", start)].strip()
-
-
 @dataclass(slots=True, eq=False)
 class Visit:
     """One request at the gate, until it is answered."""
@@ -133,12 +112,15 @@
         self._operations = Operations(window, KEPT_BYTES)
         self._life, self._count = life, 0
         self.visits: set[Visit] = set()
+        self._running: set[Visit] = set()  # whose job the upstream has, also where nobody awaits it any more
 
     def begin(self, arrival: Arrival, connection: CallerConnection) -> None:
         step = step_of(arrival.fields)
         left = arrival.fields.get(DEADLINE.lower(), b"")
         if step is None or not left.isdigit():
             raise Bad(400, "this door is for pilots")
+        if connection.abandoned():
+            return
         visit = Visit(arrival, connection, step, arrival.at + int(left) * 1000)
         connection.hold(partial(self._gone, visit))
         self.visits.add(visit)
@@ -156,6 +138,10 @@
             else:
                 self._run(visit)
 
+    def held(self) -> int:
+        """What would be lost if this process ended now."""
+        return len(self.visits | self._running)
+
     def _takes(self, visit: Visit) -> bool:
         """Whether it would be answered in time here, as far as that can be told."""
         if self._gate.beat is not None:
@@ -177,6 +163,7 @@
         head += b"%s: %s\r\n%s: %d\r\n\r\n" % (TARGET, beat.id.encode(), DEADLINE, left)
         visit.ticket = self.load.sent(visit.step.route, self._clock.now())
         self._pool.wanted = {beat.id: self._application}
+        self._running.add(visit)
         visit.job = self._pool.start(
             beat.id,
             self._application,
@@ -185,10 +172,17 @@
             body=visit.arrival.stream,
             begun=self._passes(visit, partial(passed_on, drop=(HOP, UNRUN), add=RAN)),
             whole=WHOLE if visit.operation is None else MAX_ANSWER,
+            call=visit.arrival.fields.get(ID, b""),
+            wanted=partial(self._wanted, visit),
         )
         if visit.operation is not None and not visit.open:
             self._bound(visit.job, visit)
 
+    def _wanted(self, visit: Visit) -> bool:
+        """Whether somebody still awaits it; asked before it is sent, in case this process stood still."""
+        in_time = visit.open or self._clock.now() < visit.deadline
+        return in_time and not visit.over and not visit.connection.abandoned()
+
     def _bound(self, job: Job, visit: Visit) -> None:
         """An operation goes on without its caller, but not for ever."""
 
@@ -200,6 +194,7 @@
 
     def _ran(self, visit: Visit, result: Result) -> None:
         visit.job = None
+        self._running.discard(visit)
         operation, answer = visit.operation, result.answer
         self._unload(visit, result.outcome is Outcome.OK)
         if self._passed(visit, result):
@@ -353,7 +348,8 @@
 
     def _waiting(self, operation: Operation) -> list[Visit]:
         waiters, operation.waiters = operation.waiters, []
-        return [visit for visit in waiters if isinstance(visit, Visit) and not visit.over]
+        visits = [visit for visit in waiters if isinstance(visit, Visit) and not visit.over]
+        return [visit for visit in visits if not visit.connection.abandoned()]
 
     def _settle(self, operation: Operation) -> None:
         """It has come to another state: those who wait hear of it."""
@@ -372,7 +368,9 @@
                 self._answer(visit, reply, why="the first try's answer")
         elif state in (State.CLAIMING, State.RUNNING):
             operation.waiters.append(visit)
-        elif state in (State.UNRUN, State.UNCLAIMED) and self._elsewhere(visit.step):
+        elif state in (State.UNRUN, State.UNCLAIMED) and (
+            self._elsewhere(visit.step) or self._operations.outlived(operation, now)
+        ):
             self._unclaim(visit, operation, Said.AWAY)
         elif state is State.UNRUN:
             beat = self._gate.beat
@@ -408,6 +406,8 @@
 
         def lifted(result: Any) -> None:
             operation.state = State.UNCLAIMED
+            if result is not None:
+                self._operations.drop(operation)  # nothing is left of it: the next try claims anew
             self._say(visit, said)
             for waiter in self._waiting(operation):
                 self._say(waiter, Said.AWAY)
@@ -434,8 +434,8 @@
             if answer is not None and said is Said.RAN:
                 self._answer(visit, passed_on(answer, drop=()), why=f"by the gate {operation.holder}")
             elif said in FREE:
-                operation.state = State.UNCLAIMED
-                self._say(visit, Said.AWAY)
+                operation.state = State.UNCLAIMED  # SHED stays: an upstream was asked, which counts
+                self._say(visit, Said.SHED if said is Said.SHED else Said.AWAY)
             elif said is not None:
                 self._say(visit, said)
             else:  # the other gate may have begun to run this very try
@@ -468,7 +468,7 @@
         if not visit.over:
             status = 409 if said is Said.BUSY else 503
             log.debug("gate: %s: %s %s", visit.step.instance, said.name, why)
-            self._answer(visit, Reply(status, extra=b"%s: %s\r\n" % (HOP, said.value)), said, why)
+            self._answer(visit, turned_down(visit.arrival, status, said), said, why)
 
     def _await(self, visit: Visit) -> None:
         if visit.timer is not None:
--- a/brackengate/pilot/gate.py
+++ b/brackengate/pilot/gate.py
@@ -142,7 +142,19 @@
 
     def get(self, key: str, now: int) -> Operation | None:
         self._trim(now)
-        return self._held.get(key)
+        operation = self._held.get(key)
+        if operation is not None and self._too_old(operation, now):
+            self.drop(operation)  # the core may have let its claim go: it is no longer ours to run under
+            return None
+        return operation
+
+    def outlived(self, operation: Operation, now: int) -> bool:
+        """Whether its claim is too old to run under.
+
+        The core holds a claim for two windows from its making.  A run that begins in the second one would
+        be guarded for less than a window.
+        """
+        return now - operation.since > self._window
 
     def begin(self, key: str, attempt: str, now: int) -> Operation:
         operation = self._held[key] = Operation(key, attempt, State.CLAIMING, now)
@@ -164,7 +176,13 @@
     def _trim(self, now: int) -> None:
         while self._held:
             oldest = next(iter(self._held.values()))
-            busy = oldest.state in (State.CLAIMING, State.RUNNING)
-            if busy or (now - oldest.since <= 2 * self._window and self._bytes <= self._most):
+            if _busy(oldest) or not (self._too_old(oldest, now) or self._bytes > self._most):
                 return
             self.drop(oldest)
+
+    def _too_old(self, operation: Operation, now: int) -> bool:
+        return not _busy(operation) and now - operation.since > 2 * self._window
+
+
+def _busy(operation: Operation) -> bool:
+    return operation.state in (State.CLAIMING, State.RUNNING)
--- a/brackengate/pilot/hop.py
+++ b/brackengate/pilot/hop.py
@@ -98,11 +98,20 @@
     return b"\r\n".join(lines) + b"\r\n"
 
 
+def turned_down(arrival: Arrival, status: int, said: Said) -> Reply:
+    """The word of a proxy itself; it bears the call's id, so that the other one can tell whose it is."""
+    extra = b"%s: %s\r\n" % (HOP, said.value)
+    asked = arrival.fields.get(ATTEMPT.lower())
+    if asked is not None:
+        extra += b"%s: %s\r\n" % (ATTEMPT, asked)
+    return Reply(status, extra=extra)
+
+
 def passed_on(answer: Answered, drop: tuple[bytes, ...] = (HOP,), add: bytes = b"") -> Reply:
     """An answer as it goes back."""
     dropped = HOP_BY_HOP | {name.lower() for name in drop}
     named = answer.fields.get(b"connection")
     if named is not None:
-        dropped |= {token.strip().lower() for token in named.split(b",")}
+        dropped |= {token.strip().lower() for token in named.split(b",")} - {ATTEMPT.lower(), SEAL.lower()}
     extra = [b"%s: %s\r\n" % (name, value) for name, value in answer.headers if name.lower() not in dropped]
     return Reply(answer.status, answer.body, extra=b"".join(extra) + add)
--- a/brackengate/pilot/role.py
+++ b/brackengate/pilot/role.py
@@ -26,13 +26,14 @@
 from brackengate.net.sockets import Address, SocketBudget
 from brackengate.net.upstream import Pool
 from brackengate.pilot.beats import Beats
-from brackengate.pilot.entry import Entry, own_judge
+from brackengate.pilot.entry import Entry
 from brackengate.pilot.follow import Following
 from brackengate.pilot.gate import Beat, Gate
 from brackengate.pilot.table import Table
+from brackengate.pilot.verdict import judge, own_judge
 from brackengate.pilot.wake import Wake
 from brackengate.pilot.watcher import Watcher
-from brackengate.pilot.way import WayOut, judge
+from brackengate.pilot.way import WayOut
 from brackengate.signals import settings as files
 from brackengate.signals.door import Readiness, listener
 from brackengate.signals.settings import BadSettings, Settings, plain
@@ -187,7 +188,7 @@
         if self._leaving:
             return
         self._leaving = True
-        log.info("pilot: leaving, with %d requests held", self.way.held() + len(self.entry.visits))
+        log.info("pilot: leaving, with %d requests held", self.way.held() + self.entry.held())
         for server in (self._clients, self._gate_door):
             server.ask_to_go(True)
         grace = self.settings.bounds.grace / 1e6
@@ -206,7 +207,7 @@
         self.gate.closed = True
 
     def _look_out(self, until: float) -> None:
-        held = self.way.held() + len(self.entry.visits)
+        held = self.way.held() + self.entry.held()
         if held and self._loop.time() < until:
             self._loop.call_later(0.02, self._look_out, until)
             return
--- a/brackengate/pilot/way.py
+++ b/brackengate/pilot/way.py
@@ -21,7 +21,6 @@
     Idempotency,
     Lifecycle,
     ListKind,
-    Outcome,
     Request,
     RequestClass,
     Settings,
@@ -35,6 +34,7 @@
 from brackengate.pilot.budget import ration
 from brackengate.pilot.hop import CALLER, DEADLINE, HOP, KEY, Said, Step, forwarded, hop_of, passed_on
 from brackengate.pilot.table import Table, choose, host_of
+from brackengate.pilot.verdict import judge
 from brackengate.pilot.wake import ID, Wake
 from brackengate.policy.state import MOST_TRIES
 from brackengate.signals.door import MOST_BODY
@@ -72,24 +72,6 @@
         return b"%s%s%s: %d\r\n\r\n%s" % (self.head, step.lines(), DEADLINE, remaining_ms, self.body)
 
 
-def judge(payload: bytes, answer: Answered) -> Result:
-    """What a gate's answer means to the module."""
-    said = hop_of(answer.fields)
-    if said is Said.RAN:
-        outcome = Outcome.OK if answer.status < 500 else Outcome.ERROR
-    elif said in (Said.AWAY, Said.FULL, Said.UNCLAIMED):
-        outcome = Outcome.NOT_SENT
-    elif said is Said.SHED:
-        outcome = Outcome.REJECTED
-    elif said is Said.UNREACHED:
-        outcome = Outcome.CONNECT_FAILED
-    elif said is Said.BROKEN:
-        outcome = Outcome.RESET
-    else:  # it may have run, or its operation has; that tells nothing of the upstream
-        outcome = Outcome.TIMEOUT
-    return Result(outcome, answer=answer)
-
-
 class MeshWords:
     """Upstreams' answers go back as they are; refusals say when to come back."""
 
@@ -264,6 +246,8 @@
     # --- requests
 
     def begin(self, arrival: Arrival, connection: CallerConnection) -> None:
+        if connection.abandoned():
+            return
         attempt = arrival.fields.get(ID, b"")
         if not self._table.known:
             self._wake.turned_away(attempt, arrival.at, 503, "no configuration yet")
@@ -286,6 +270,7 @@
         message.aim_before_end_ms = max(0, route.cutoff - route.setpoint) // 1000
         message.rank = max(0, route.priority)
         message.in_pieces = arrival.method != b"HEAD"  # its answer tells a length and has no body
+        message.wanted = partial(_awaited, connection)
         message.again = limit < AGAIN_PART * route.cutoff
         connection.hold(partial(service.node.gone, request.request, connection))
         service.node.submit(request, message, connection)
@@ -301,6 +286,10 @@
         return sum(service.node.out() for service in self.services.values())
 
 
+def _awaited(connection: CallerConnection) -> bool:
+    return not connection.abandoned()
+
+
 def _class_of(route: Route) -> RequestClass:
     kind = Idempotency.REPEATABLE if route.kind == "idempotent" else Idempotency.UNSAFE
     aim = min(route.setpoint, route.cutoff)
--- a/tests/pilot/pilots.py
+++ b/tests/pilot/pilots.py
@@ -17,11 +17,12 @@
 from brackengate.net.node import Clock
 from brackengate.net.sockets import SocketBudget, bind
 from brackengate.net.upstream import Pool
-from brackengate.pilot.entry import Entry, own_judge
+from brackengate.pilot.entry import Entry
 from brackengate.pilot.gate import Beat, Gate
 from brackengate.pilot.table import Table
+from brackengate.pilot.verdict import judge, own_judge
 from brackengate.pilot.wake import Wake
-from brackengate.pilot.way import WayOut, judge
+from brackengate.pilot.way import WayOut
 from brackengate.signals.door import listener
 
 LOCAL = "127.0.0.1"
--- a/tests/pilot/test_entry.py
+++ b/tests/pilot/test_entry.py
@@ -18,9 +18,10 @@
 from brackengate.interface import Outcome
 from brackengate.net.node import Reply
 from brackengate.net.upstream import Result
-from brackengate.pilot.entry import Entry, own_judge
+from brackengate.pilot.entry import Entry
 from brackengate.pilot.gate import Beat, Gate
 from brackengate.pilot.hop import HOP, Said, Step
+from brackengate.pilot.verdict import own_judge
 from brackengate.signals.words import Claim, Unclaim
 
 S = 1_000_000
@@ -93,6 +94,10 @@
     reply: Reply | None = None
     gone: Callable[[], None] = field(default=lambda: None)
     sink: Any = None  # of a long answer
+    left: bool = False  # its caller has, and the loop has not met that
+
+    def abandoned(self) -> bool:
+        return self.left
 
     def hold(self, gone: Callable[[], None]) -> None:
         self.gone = gone
@@ -390,5 +395,13 @@
         self.assertThat(outcome(200, mine), Equals(Outcome.ERROR))
         self.assertThat(outcome(200, seal), Equals(Outcome.ERROR))
         self.assertThat(outcome(503, mine, (b"x-brackengate-not-executed", b"1")), Equals(Outcome.REJECTED))
-        self.assertThat(outcome(421), Equals(Outcome.REJECTED))
+        self.assertThat(outcome(421, mine), Equals(Outcome.REJECTED))
+        self.assertThat(outcome(421), Equals(Outcome.ERROR))  # nobody's: it says nothing of this request
+        self.assertThat(outcome(421, (mine[0], other)), Equals(Outcome.RESET))
+        unrun = (b"x-brackengate-not-executed", b"1")
+        self.assertThat(outcome(503, (mine[0], other), unrun), Equals(Outcome.RESET))
+        self.assertThat(outcome(500, seal, (mine[0], other)), Equals(Outcome.RESET))
+        for status in (408, 429, 503):  # only that header says that a call has not run
+            self.assertThat(outcome(status, seal, mine), Equals(Outcome.ERROR))
+            self.assertThat(outcome(status, mine, unrun), Equals(Outcome.REJECTED))
         self.assertThat(outcome(500, seal, mine), Equals(Outcome.OK))
