--- a/brackengate/net/node.py
+++ b/brackengate/net/node.py
@@ -121,6 +121,7 @@
     route: object = None  # what its front's router chose, where there is one
     stream: Body | None = None  # in place of `body`: it is still coming
     in_pieces: bool = False  # whether its answer may be passed on as it comes
+    call: bytes = b""  # the id that answers to it bear
     wanted: Callable[[], bool] = always  # False: its caller has left, though nobody has said so yet
 
     def payload(self, remaining_ms: int, upstream: str, number: int) -> bytes:
@@ -424,6 +425,7 @@
             wrote=wrote,
             body=message.stream,
             begun=begun,
+            call=message.call,
             wanted=partial(self._wanted, exchange, until),
         )
         if not opened:
--- a/brackengate/net/upstream.py
+++ b/brackengate/net/upstream.py
@@ -33,6 +33,7 @@
 TRUST_LEAST = 50_000  # however many are lost, connections that stood idle for less than this are used again
 TRUST_DOUBLES = 10 * SECOND  # the idle time that is trusted doubles in this time
 KEEP_ALIVE = re.compile(rb"timeout=([0-9]{1,6})")
+NOT_RUN = (Outcome.REJECTED, Outcome.NOT_SENT, Outcome.CONNECT_FAILED)  # after any of them it may go again
 MOST_TURNED_AWAY = 64  # calls that a connection remembers; beyond that another one is made
 LOAD_FIELDS = {
     "inflight": "in_flight",
@@ -382,7 +383,7 @@
         self._hold_back(False)  # the caller may not have taken the last piece; the next answer is another's
         self.settles = job is None or not job.probe
         result = self.pool.judge(job.payload, answer) if job is not None else None
-        if job is not None and result is not None and result.outcome is Outcome.REJECTED and job.call:
+        if job is not None and job.call and result is not None and result.outcome in NOT_RUN:
             self.turned_away.add(job.call)
         self._heed_keep_alive(answer)
         astray = result is not None and result.astray  # another one's answer: so may the next be
--- a/brackengate/pilot/way.py
+++ b/brackengate/pilot/way.py
@@ -270,6 +270,7 @@
         message.aim_before_end_ms = max(0, route.cutoff - route.setpoint) // 1000
         message.rank = max(0, route.priority)
         message.in_pieces = arrival.method != b"HEAD"  # its answer tells a length and has no body
+        message.call = attempt
         message.wanted = partial(_awaited, connection)
         message.again = limit < AGAIN_PART * route.cutoff
         connection.hold(partial(service.node.gone, request.request, connection))
