Read the control replicas' word on a claim as a type; refuse answers with two ids

Cause: a map with or without a key stood for three outcomes; an answer that names two ids or two seals can be read in two ways.

--- a/brackengate/pilot/entry.py
+++ b/brackengate/pilot/entry.py
@@ -21,7 +21,7 @@
 from brackengate.net.node import Clock, Reply
 from brackengate.net.sockets import Address
 from brackengate.net.upstream import Begun, Job, Pool, Result
-from brackengate.pilot.gate import Gate, Operation, Operations, State
+from brackengate.pilot.gate import Gate, Granted, Operation, Operations, State, claim_answer
 from brackengate.pilot.hop import (
     ATTEMPT,
     DEADLINE,
@@ -331,20 +331,20 @@
             self._say(visit, Said.UNCLAIMED)
 
     def _claimed(self, operation: Operation, result: Any) -> None:
-        log.debug("gate: claim of %r, attempt %s: %s", operation.key, operation.attempt, result)
-        if result is None:
+        answer = claim_answer(result)
+        log.debug("gate: claim of %r, attempt %s: %s", operation.key, operation.attempt, answer)
+        if answer is None:
             operation.state = State.UNCLAIMED
             for visit in self._waiting(operation):
                 self._say(visit, Said.UNCLAIMED)
-        elif "gate" not in result:
+            return
+        if isinstance(answer, Granted):
             operation.state = State.UNRUN
-            self._settle(operation)
-        elif result["gate"] == self._me:
+        elif answer.gate == self._me:
             operation.state = State.LOST  # claimed by an earlier life of this process
-            self._settle(operation)
         else:
-            operation.state, operation.holder = State.ELSEWHERE, result["gate"]
-            self._settle(operation)
+            operation.state, operation.holder = State.ELSEWHERE, answer.gate
+        self._settle(operation)
 
     def _waiting(self, operation: Operation) -> list[Visit]:
         waiters, operation.waiters = operation.waiters, []
--- a/brackengate/pilot/gate.py
+++ b/brackengate/pilot/gate.py
@@ -10,6 +10,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Any
 
 from brackengate.signals.words import Instance
 
@@ -107,6 +108,25 @@
         return Instance(beat.id, beat.plant, zone, state, beat.capacity, beat.warmup, self.life)
 
 
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """The key is this gate's to run."""
+
+
+@dataclass(frozen=True, slots=True)
+class HeldBy:
+    """Another claim stands.  `gate`: whose it is; this gate's own, where an earlier life of it made it."""
+
+    gate: str
+
+
+def claim_answer(result: Any) -> Granted | HeldBy | None:
+    """What the control replicas say to a claim; None: they did not answer in time."""
+    if result is None:
+        return None
+    return HeldBy(str(result["gate"])) if "gate" in result else Granted()
+
+
 class State(Enum):
     CLAIMING = "claiming"
     RUNNING = "running"
--- a/brackengate/pilot/verdict.py
+++ b/brackengate/pilot/verdict.py
@@ -46,6 +46,8 @@
 def own_judge(payload: bytes, answer: Answered) -> Result:
     """What an upstream's answer means, by its head."""
     told = answer.fields.get(_ID)
+    if _twofold(answer):
+        return Result(Outcome.ERROR, astray=True)
     if told != call_id(payload):
         return Result(Outcome.ERROR if told is None else Outcome.RESET, astray=True)
     if _UNRUN in answer.fields or answer.status == MISDIRECTED:
@@ -62,7 +64,7 @@
     said = hop_of(answer.fields)
     if said is None:
         return Result(Outcome.TIMEOUT, astray=True)  # a listener's own words; which call they are for is open
-    if answer.fields.get(_ID) != call_id(payload):
+    if answer.fields.get(_ID) != call_id(payload) or _twofold(answer):
         return Result(Outcome.RESET, astray=True)
     if said is not Said.RAN:
         return Result(_OUTCOMES[said], answer=answer)
@@ -71,6 +73,14 @@
     return Result(Outcome.OK if answer.status < 500 else Outcome.ERROR, answer=answer)
 
 
+def _twofold(answer: Answered) -> bool:
+    """Whether it names two ids or two seals: each reader could take another one for its own."""
+    if len(answer.headers) <= len(answer.fields):
+        return False
+    names = [name.lower() for name, _ in answer.headers]
+    return max(names.count(_ID), names.count(_SEAL)) > 1
+
+
 def _lacks_seal(answer: Answered) -> bool:
     """Whether it is a success that no upstream has put its seal to."""
     return answer.status < 300 and _SEAL not in answer.fields
--- a/tests/pilot/test_calls.py
+++ b/tests/pilot/test_calls.py
@@ -104,6 +104,12 @@
         assert (seen.connections, seen.ended["t1"].status) == (connections, 200)
 
 
+@pytest.mark.parametrize(("act", "connections"), [("other", 2), ("other-failure", 2), ("no-id", 2),
+                                                  ("no-seal", 2), ("failed", 1)])  # fmt: skip
+def test_a_connection_that_is_out_of_step_is_not_used_again(act: str, connections: int) -> None:
+    assert play(script(buy(), buy(100), s=(Act(act),))).connections == connections
+
+
 # --- the rules of the later page
 
 
--- a/tests/pilot/test_entry.py
+++ b/tests/pilot/test_entry.py
@@ -456,6 +456,9 @@
         self.assertThat(outcome(421), Equals(Outcome.ERROR))  # nobody's: it says nothing of this request
         self.assertThat(outcome(421, (mine[0], other)), Equals(Outcome.RESET))
         unrun = (b"x-brackengate-not-executed", b"1")
+        twice = [(b"X-Brackengate-Attempt-Id", b"t0"), mine, seal]
+        told = Answered(200, dict([mine, seal]), b"", True, twice)  # two ids, of which the last is ours
+        self.assertThat(own_judge(head, told).outcome, Equals(Outcome.ERROR))
         self.assertThat(outcome(503, (mine[0], other), unrun), Equals(Outcome.RESET))
         self.assertThat(outcome(500, seal, (mine[0], other)), Equals(Outcome.RESET))
         for status in (408, 429, 503):  # only that header says that a call has not run
