--- a/brackengate/emulator/mesh/disk.py
+++ b/brackengate/emulator/mesh/disk.py
@@ -19,8 +19,9 @@
 from brackengate.emulator.mesh.ground import RoleProcess
 from brackengate.lighthouse.actions import Store
 from brackengate.lighthouse.replica import FIRST, StoredState
+from brackengate.lighthouse.rows import is_deletion
 from brackengate.lighthouse.view import NOBODY
-from brackengate.signals.words import Ballot, View
+from brackengate.signals.words import Ballot, Entry, View
 
 TOLD = 60  # from a sync to its process's next step, in microseconds
 
@@ -39,6 +40,7 @@
     def wipe(self) -> None:
         self._meta: dict[str, bytes] = {}
         self._rows: dict[tuple[str, str], tuple[int, bytes]] = {}
+        self._entries: dict[int, bytes] = {}
         self._under_way: list[Store] | None = None
         self._life = object()  # of what is under way
 
@@ -78,13 +80,19 @@
         for store in stores:
             if store.forget:
                 self._rows.clear()
+            if store.forget or store.cut:
+                self._entries.clear()
             for name, value in store.meta.items():
                 self._meta[name] = encode(value)
             for place, (kind, name, value) in store.rows:
-                if kind == "key" and value is None:
+                if is_deletion(kind, value):
                     self._rows.pop((kind, name), None)
                 else:
                     self._rows[kind, name] = (place, encode(value))
+            for place in [place for place in self._entries if place <= store.committed]:
+                del self._entries[place]
+            for entry in store.entries:
+                self._entries[entry.index] = encode(entry)
 
     def read(self, first: bool) -> StoredState:
         """As of `lighthouse.store.open_disk`."""
@@ -103,6 +111,9 @@
             self._read("taken_at", Ballot),
             self._read("taken", View),
             [(kind, name, place, decode(value)) for (kind, name), (place, value) in self._rows.items()],
+            [decode(data, type=Entry) for _, data in sorted(self._entries.items())],
+            self._read("base", int),
+            self._read("copy", int) or 0,
         )
 
     def _read(self, name: str, kind: Any) -> Any:
--- a/brackengate/lighthouse/actions.py
+++ b/brackengate/lighthouse/actions.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from brackengate.signals.words import Line, Row
+from brackengate.signals.words import Entry, Line, Row
 
 
 @dataclass(slots=True)
@@ -21,12 +21,17 @@
     """Bring it to the disk, then say `tells`, then call
     `stored(index, generation)` where `index` is not negative.
 
-    Stores are done in the order in which they were asked for.
+    Stores are done in the order in which they were asked for, and each as a whole or not at all.  A disk
+    holds the committed rows, and beside them the log's entries that were not committed when they were stored:
+    first `forget` or `cut`, then `rows`, then what is `committed` leaves the log, then `entries` join it.
     """
 
     meta: dict[str, Any] = field(default_factory=dict)
     rows: list[tuple[int, Row]] = field(default_factory=list)  # with the place of each
-    forget: bool = False  # all rows that were there before go
+    forget: bool = False  # all rows and entries that were there before go
+    cut: bool = False  # all entries that were there before go
+    committed: int = -1  # entries up to there go: what they say is among the rows
+    entries: list[Entry] = field(default_factory=list)
     tells: list[Tell] = field(default_factory=list)
     index: int = -1
     generation: int = 0
--- /dev/null
+++ b/brackengate/lighthouse/ages.py
@@ -0,0 +1,50 @@
+"""How old the keys are, by the log index that stood at a time: keys that nobody may repeat any more.  Pure.
+
+A row whose index is not above that of a mark was written before the mark's time.  So the ages of all keys
+take a few dozen marks, whatever their number; by a steady clock, as the time of day jumps.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from brackengate.lighthouse.rows import BUCKETS, KEY, CommittedRows
+
+MARKS = 16  # for each window
+BUCKETS_AT_ONCE = 256  # that one step looks through
+
+
+@dataclass
+class KeyAges:
+    """`window`: how long a key may be repeated.  Keys are kept for twice as long."""
+
+    window: int
+    marks: deque[tuple[int, int]] = field(default_factory=deque)  # time, log index
+    cutoff: int = -1  # keys with rows up to this index are too old
+    bucket: int = BUCKETS  # where the look through the rows goes on; BUCKETS: it is done
+
+    def mark(self, now: int, index: int) -> None:
+        if self.marks:
+            at, held = self.marks[-1]
+            if index == held or now - at < self.window // MARKS:
+                return
+        self.marks.append((now, index))
+
+    def too_old(self, rows: CommittedRows, now: int, most: int) -> list[str]:
+        """Some of the keys that are too old, and not many more than `most`; the next call looks further."""
+        while self.marks and now - self.marks[0][0] > 2 * self.window:
+            index = self.marks.popleft()[1]
+            if index > self.cutoff:
+                self.cutoff = index
+                self.bucket = self.bucket if self.looking else 0
+        found: list[str] = []
+        end = min(BUCKETS, self.bucket + BUCKETS_AT_ONCE)
+        while self.bucket < end and len(found) < most:
+            found += rows.old_names(self.bucket, KEY, self.cutoff)
+            self.bucket += 1
+        return found
+
+    @property
+    def looking(self) -> bool:
+        return self.bucket < BUCKETS
--- a/brackengate/lighthouse/chain.py
+++ b/brackengate/lighthouse/chain.py
@@ -1,9 +1,14 @@
 """The log of changes as a chain: entered at the head, stored by each in turn, answered from the tail.  Pure.
 
 A member stores an entry before it passes it on, so each one's log is a prefix of the log of the one before
-it. What the tail has stored is on every disk of the view: it is agreed, and word of that goes back up the
-chain. Only what is agreed is published, so nothing published is ever taken back.  The log is kept as the
-latest value of each row with the log index of its entry: what follows an index is the rows with a higher one.
+it. What the tail has stored is on every disk of the view: it is committed, and word of that goes back up the
+chain. Only what is committed is published, so nothing published is ever taken back.
+
+The log is kept as the committed rows and the entries after them, in memory and on disk alike.  Entries are
+passed on as they were made, so that what they free is free everywhere.  A replica without a place in the view
+drops the entries and keeps the rows, which are a prefix of what is committed whatever comes; it goes on from
+there as a learner (`transfer`), and a new member takes its duties when it holds all that the one before it
+had stored.
 
 Asks may come to any member, which sends them to the head until it hears what became of them; asking again
 does no harm, as each ask says what is wanted and not a step towards it.  Times are microseconds of a steady
@@ -13,13 +18,17 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
 
 from brackengate.lighthouse.actions import Action, Answer, Publish, Restart, Store, Tell
+from brackengate.lighthouse.ages import KeyAges
+from brackengate.lighthouse.recent import RecentEntries
+from brackengate.lighthouse.rows import KEY, LatestRows, State, state_of
+from brackengate.lighthouse.transfer import COMPLETE, Differs, Learner, check, next_piece, taken
 from brackengate.lighthouse.view import LogStatus
 from brackengate.signals.items import Invalid, Item, Name, effect, layout, read_call
 from brackengate.signals.words import (
@@ -28,9 +37,11 @@
     Ack,
     Amend,
     Append,
-    ChainSnapshot,
     Claim,
     Command,
+    CopyPiece,
+    CopyPosition,
+    CopyRequest,
     Entry,
     Line,
     Position,
@@ -47,10 +58,12 @@
 AGAIN = 400_000  # an ask without an answer is sent again
 GIVE_UP = 12_000_000  # and forgotten
 HAVE = 200_000  # a member that has not met the one before it says again what it has
-RECENT = 2_000  # entries kept for followers
-PRUNE_AT_ONCE = 200
-PRUNE = 1_000_000
-KEY = "key"
+RECENT, RECENT_BYTES = 20_000, 4 << 20  # committed entries kept for learners
+RECENT_PUBLIC, RECENT_PUBLIC_BYTES = 2_000, 2 << 20  # and of these, what followers may have
+APPEND_ENTRIES, APPEND_BYTES = 500, 64 << 10  # in one message
+FOLD, FOLD_MOST = 1_000_000, 2_000  # committed rows wait for the next store, so long and so many
+PRUNE_AT_ONCE = 500
+PRUNE, PRUNE_ON = 1_000_000, 100_000  # between two looks for old keys, and while there are more
 
 
 @dataclass(slots=True)
@@ -80,25 +93,34 @@
     ) -> None:
         """`min_replicas`: disks that hold a write before its ack.  `window`: how long a key is kept.
         `index`, `snapshot_epoch`: as stored; the epoch is that of the membership the rows were taken for."""
-        self.me, self.min_replicas, self.window = me, min_replicas, window
+        self.me, self.min_replicas = me, min_replicas
         self.view = View(0, ())
         self.incarnation = ""
         self.epoch_closed = False
-        self.generation = 0  # of the rows: a snapshot begins a new one
+        self.generation = 0  # of what is held: another one begins where some of it is dropped
         self.index = self.stored_index = index  # in memory, and on disk
         self.commit_index = -1  # on all disks of a view; -1: not known since the start
         self.caught_up_epoch = 0
         self.snapshot_epoch = snapshot_epoch
-        self.rows: dict[Name, tuple[int, Any]] = {}
+        self.state = State()
+        self.learner = Learner()
+        self.ages = KeyAges(window)
         self.items: dict[Name, Item] = {}  # the operator's, as in `rows`
-        self.born: dict[str, int] = {}  # keys, since when they are held here
+        self._firm = True  # whether all rows of `state` are known to be committed
+        self._firm_from = 0  # they are from this index on
         self._loaded = index
+        self._fed = False  # a new member that is passed entries, and does not hold all that it owes yet
+        self._owed: int | None = None  # the index from which on it does
         self._next_from: int | None = None  # the index up to which the next one was sent; None: it has to say
         self._uncommitted: deque[Entry] = deque()
-        self._recent: deque[tuple[int, tuple[Row, ...]]] = deque()
-        self._recent_from = index  # entries after this index are in `_recent`
-        self._published: dict[Name, tuple[int, Any]] = {}
+        self._overlay: dict[Name, tuple[int, Any]] = {}  # the rows of these
+        self._folded: list[tuple[int, Row]] = []  # committed since the last store
+        self._folded_at = 0
+        self._recent = RecentEntries(RECENT, RECENT_BYTES, index)
+        self._recent_public = RecentEntries(RECENT_PUBLIC, RECENT_PUBLIC_BYTES, index)
+        self._now = now  # of the last event
         self._said_have = self._pruned = 0
+        self._pruned_to = 0  # the last entry that frees old keys
         self._pending: dict[int, PendingCommand] = {}
         self._sent: dict[int, int] = {}  # the ask of each number
         self._last_id = (
@@ -106,17 +128,42 @@
         )
         self._pending_replies: deque[PendingReply] = deque()
 
-    def load(self, rows: list[tuple[str, str, int, Any]], now: int) -> None:
-        """What is on disk at the start; some of it may not have been agreed."""
-        for kind, name, index, value in rows:
-            self._set(index, (kind, name, value), now)
-            if kind in PUBLIC:
-                self._published[kind, name] = (index, value)
+    def load(
+        self,
+        rows: Iterable[tuple[str, str, int, Any]],
+        entries: Iterable[Entry],
+        base: int | None,
+        bucket: int,
+        now: int,
+    ) -> None:
+        """What is on disk at the start: committed rows, and entries of which some may not have been."""
+        entries = tuple(entries)
+        self._firm = base is not None or self.index == 0
+        if base is None:
+            base = entries[0].index - 1 if entries else self.index
+        self.state = state_of(base, rows)
+        self._firm_from = base
+        if self.snapshot_epoch and self._firm:
+            bucket = COMPLETE
+        self.learner.position = CopyPosition(bucket, self.state.index)
+        self._take_items((name, value) for name, (_, value) in self.state.published.items())
+        for entry in entries:
+            self._take_entry(entry)
+        self._recent.begin(self.state.index)
+        self._recent_public.begin(self.state.index)
+        self.ages.mark(now, self.index)
 
     # --- where it stands
 
     def log(self) -> LogStatus:
-        return LogStatus(self.stored_index, self.has_snapshot, self.caught_up_epoch)
+        copied = -1 if self._chain_position() >= 0 or not self.learner.complete else self.state.index
+        committed = max(self.commit_index, self.state.index if self._firm else -1)
+        return LogStatus(self.stored_index, self.has_snapshot, self.caught_up_epoch, committed, copied)
+
+    @property
+    def rows(self) -> LatestRows:
+        """All rows with what is not committed yet."""
+        return LatestRows(self.state, self._overlay)
 
     @property
     def has_snapshot(self) -> bool:
@@ -152,26 +199,32 @@
     @property
     def ready(self) -> bool:
         """Whether followers can be served: all that is held here has been agreed at some time."""
-        return self.commit_index >= self._loaded and self.commit_index >= 0
+        return self.has_snapshot and self.commit_index >= self._loaded and self.commit_index >= 0
 
     # --- the view
 
     def viewed(self, view: View, incarnation: str, now: int) -> list[Action]:
         """A view was agreed."""
+        self._now = now
         self.view, self.incarnation, self.epoch_closed = view, incarnation, False
         self.caught_up_epoch = 0
-        self._next_from = None
+        self._next_from = self._owed = None
+        self._fed = False
         self._pending_replies.clear()  # whoever asked asks again
         out: list[Action] = []
+        if not self.has_snapshot:
+            out += self._drop_entries()
         if self._chain_position() == 0 and self.has_snapshot:
             self.caught_up_epoch = view.epoch
         out += self._say_have(now)
         out += self._tail()
+        out += self._learn(now)
         for ask in list(self._pending):
             out += self._send(ask, now)
         return out
 
     def tick(self, now: int) -> list[Action]:
+        self._now = now
         out: list[Action] = []
         if (
             self._chain_position() > 0
@@ -184,10 +237,11 @@
                 out.append(self._settle(ask, None))
             elif now - pending.sent > AGAIN:
                 out += self._send(ask, now)
-        if now - self._pruned > PRUNE:
+        self.ages.mark(now, self.state.index)
+        if now - self._pruned > (PRUNE_ON if self.ages.looking else PRUNE):
             self._pruned = now
             out += self._prune(now)
-        return out
+        return out + self._learn(now) + self._fold(now)
 
     def reconnected(self, addr: str, now: int) -> list[Action]:
         """A connection to that member is new: what was said on the one before may be lost."""
@@ -196,16 +250,17 @@
             self._next_from = None
         if addr == self._before():
             out += self._say_have(now)
+        if addr == self.learner.source:
+            self.learner.request = 0
+            out += self._learn(now)
         return out
 
     def _say_have(self, now: int) -> list[Action]:
         before = self._before()
         self._said_have = now
-        if not before:
+        if not before or not (self.has_snapshot or self.learner.complete):
             return []
-        out: list[Action] = [
-            Tell(before, Position(self.view.epoch, self.stored_index if self.has_snapshot else -1))
-        ]
+        out: list[Action] = [Tell(before, Position(self.view.epoch, self.stored_index))]
         if (
             self.commit_index >= 0 and self.has_snapshot
         ):  # whoever has just started knows of nothing that is agreed
@@ -284,32 +339,34 @@
         self._pending_replies.append(PendingReply(self.index, addr, word.id, result))
         return out
 
-    def _append(self, rows: list[Row], now: int) -> list[Action]:
-        return self._take((Entry(self.index + 1, tuple(rows)),), now)
-
     def _tell_done(self, addr: str, ask: int, result: Any) -> list[Action]:
         done = Result(ask, result)
         return self._done(done) if addr == self.me else [Tell(addr, done)]
 
     def _prune(self, now: int) -> list[Action]:
-        """A duty of the head: keys that nobody may repeat any more.  By age: the time of day jumps."""
+        """A duty of the head: keys that nobody may repeat any more."""
         if (
             self._chain_position() != 0
             or not self.has_snapshot
             or self.epoch_closed
-            or self.commit_index < self.index
+            or self.commit_index < self._pruned_to
         ):
             return []
-        old: list[Row] = []
-        for key, born in self.born.items():
-            if now - born <= 2 * self.window or len(old) >= PRUNE_AT_ONCE:
-                break
-            old.append((KEY, key, None))
-        return self._append(old, now) if old else []
+        rows, old = self.rows, list[Row]()
+        for key in self.ages.too_old(self.state.rows, now, PRUNE_AT_ONCE):
+            held = rows.get((KEY, key))
+            if held is not None and held[0] <= self.ages.cutoff:
+                old.append((KEY, key, None))
+        if not old:
+            return []
+        out = self._append(old, now)
+        self._pruned_to = self.index
+        return out
 
     # --- the log
 
     def heard(self, addr: str, word: Line, now: int) -> list[Action]:
+        self._now = now
         match word:
             case Submit():
                 return self._do(addr, word, now)
@@ -319,8 +376,10 @@
                 return self._on_have(addr, word)
             case Append():
                 return self._on_forward(addr, word, now)
-            case ChainSnapshot():
-                return self._on_whole(addr, word, now)
+            case CopyRequest():
+                return self._on_copy_request(addr, word)
+            case CopyPiece():
+                return self._on_copy_piece(addr, word, now)
             case Ack():
                 if word.epoch == self.view.epoch and addr == self._after():
                     return self._commit(min(word.index, self.stored_index))
@@ -336,12 +395,8 @@
             return []
         if word.index > self.index:
             return []  # it can't have more: a line from another life
-        if word.index < 0:
-            rows = tuple((kind, name, index, value) for (kind, name), (index, value) in self.rows.items())
-            if self.stored_index < self.index:
-                return []  # what is not stored here must not be passed on; it asks again
-            self._next_from = self.index
-            return [Tell(addr, ChainSnapshot(word.epoch, self.index, rows))]
+        if word.index < self.state.index and not self._recent.reaches(word.index):
+            return []  # it has to copy
         self._next_from = word.index
         return self._feed_next(even_none=True)
 
@@ -353,76 +408,105 @@
         start, until = self._next_from, self.stored_index
         if start >= until and not even_none:
             return []
-        entries = [entry for entry in self._uncommitted if start < entry.index <= until]
-        if start < until and (not entries or entries[0].index > start + 1):
-            rows = [(k, n, v) for (k, n), (index, v) in self.rows.items() if start < index]
-            if until < self.index:
-                return []  # rows of the last entries are not stored yet: wait for those
-            entries = [Entry(until, tuple(rows))]
+        out: list[Action] = []
+        while start < self.state.index:
+            entries, _ = self._recent.after(start, APPEND_ENTRIES, APPEND_BYTES)
+            out.append(Tell(after, Append(self.view.epoch, start, entries, until)))
+            start = entries[-1].index
+        rest = [entry for entry in self._uncommitted if start < entry.index <= until]
+        while rest or not out:
+            entries, rest = tuple(rest[:APPEND_ENTRIES]), rest[APPEND_ENTRIES:]
+            out.append(Tell(after, Append(self.view.epoch, start, entries, until)))
+            start = entries[-1].index if entries else start
         self._next_from = max(start, until)
-        return [Tell(after, Append(self.view.epoch, start, tuple(entries)))]
+        return out
 
     def _on_forward(self, addr: str, word: Append, now: int) -> list[Action]:
         if (
             word.epoch != self.view.epoch
             or addr != self._before()
-            or not self.has_snapshot
             or self.epoch_closed
+            or not (self.has_snapshot or self.learner.complete)
         ):
             return []
         if word.after > self.index:
             return self._say_have(now)
+        entries = tuple(entry for entry in word.entries if entry.index > self.index)
+        if not self.has_snapshot:
+            return self._feed_new_member(entries, word.until)
         self.caught_up_epoch = self.view.epoch
-        out = self._take(tuple(entry for entry in word.entries if entry.index > self.index), now)
+        out = self._take(entries, now)
         return out or self._tail()
 
-    def _on_whole(self, addr: str, word: ChainSnapshot, now: int) -> list[Action]:
+    def _feed_new_member(self, entries: tuple[Entry, ...], until: int) -> list[Action]:
+        """It holds all that it owes once it has what the one before it had stored when they met."""
+        self._fed, self.learner.request = True, 0
+        if self._owed is None:
+            self._owed = until
+        for entry in entries:
+            self._take_entry(entry)
+        if self.index < self._owed:
+            return [self._log_store(entries)] if entries else []
         member = self.view.member(self.me)
-        if (
-            word.epoch != self.view.epoch
-            or addr != self._before()
-            or self.epoch_closed
-            or member is None
-            or self.has_snapshot
-        ):
-            return []
-        for held in (self.rows, self.items, self.born, self._uncommitted, self._recent, self._published):
-            held.clear()
-        self.generation += 1
-        self.index, self.snapshot_epoch, self.caught_up_epoch = word.index, member.since, self.view.epoch
-        self.stored_index, self.commit_index, self._loaded = -1, -1, word.index
-        self.load(list(word.rows), now)
-        rows = [(index, (kind, name, value)) for kind, name, index, value in word.rows]
-        meta = {"place": word.index, "lineage": self.snapshot_epoch}
-        return [Restart(), Store(meta, rows, forget=True, index=word.index, generation=self.generation)]
+        assert member is not None
+        self._fed, self.snapshot_epoch, self.caught_up_epoch = False, member.since, self.view.epoch
+        self._loaded = self.index
+        self.generation += 1  # nothing counts as stored until this one is
+        self.stored_index = -1
+        return [Restart(), self._log_store(entries, lineage=member.since)]
+
+    def _append(self, rows: list[Row], now: int) -> list[Action]:
+        return self._take((Entry(self.index + 1, tuple(rows)),), now)
 
     def _take(self, entries: tuple[Entry, ...], now: int) -> list[Action]:
         if not entries:
             return []
-        rows: list[tuple[int, Row]] = []
         for entry in entries:
-            self.index = entry.index
-            self._uncommitted.append(entry)
-            for row in entry.rows:
-                self._set(entry.index, row, now)
-                rows.append((entry.index, row))
-        return [Store({"place": self.index}, rows, index=self.index, generation=self.generation)]
-
-    def _set(self, index: int, row: Row, now: int) -> None:
-        kind, name, value = row
-        if kind == KEY:
-            if value is None:
-                self.rows.pop((kind, name), None)
-                self.born.pop(name, None)
-                return
-            self.born.setdefault(name, now)
-        self.rows[kind, name] = (index, value)
-        if kind in ITEMS:
-            self.items[kind, name] = msgspec.convert(value, Item)
+            self._take_entry(entry)
+        return [self._log_store(entries)]
+
+    def _take_entry(self, entry: Entry) -> None:
+        self.index = entry.index
+        self._uncommitted.append(entry)
+        for kind, name, value in entry.rows:
+            self._overlay[kind, name] = (entry.index, value)
+        self._take_items(((kind, name), value) for kind, name, value in entry.rows)
+
+    def _take_items(self, rows: Iterable[tuple[Name, Any]]) -> None:
+        for (kind, name), value in rows:
+            if kind in ITEMS:
+                self.items[kind, name] = msgspec.convert(value, Item)
+
+    def _log_store(self, entries: tuple[Entry, ...], **meta: Any) -> Store:
+        """The next store of the log, with the rows that were committed since the last one."""
+        store = self._fold_store(**meta)
+        store.meta["place"], store.entries = self.index, list(entries)
+        store.index, store.generation = self.index, self.generation
+        return store
+
+    def _fold_store(self, **meta: Any) -> Store:
+        rows, self._folded = self._folded, []
+        base = self.state.index if self._firm else None
+        return Store({"base": base, **meta}, rows, committed=self.state.index)
+
+    def _fold(self, now: int) -> list[Action]:
+        """Committed rows that wait for a store for too long get one of their own."""
+        if not self._folded:
+            self._folded_at = now
+        elif now - self._folded_at >= FOLD or len(self._folded) >= FOLD_MOST:
+            self._folded_at = now
+            return [self._fold_store()]
+        return []
 
     def stored(self, index: int, generation: int) -> list[Action]:
-        """The disk holds everything up to there, of that life of the rows."""
-        if generation != self.generation or index <= self.stored_index:
+        """The disk holds everything up to there, of that generation."""
+        if generation != self.generation:
+            return []
+        if self.learner.storing:
+            self.learner.storing = False
+            self.stored_index = index
+            return self._learn(self._now) + self._say_have(self._now)
+        if index <= self.stored_index:
             return []
         self.stored_index = index
         out = self._feed_next()
@@ -442,7 +526,7 @@
 
     def _commit(self, index: int) -> list[Action]:
         out: list[Action] = []
-        if len(self.view.members) < self.min_replicas:
+        if len(self.view.members) < self.min_replicas or not self.has_snapshot:
             return out
         before = self._before()
         if before:
@@ -451,21 +535,14 @@
             return out
         was_ready = self.ready
         self.commit_index = index
+        self._firm = self._firm or index >= self._firm_from
         rows: list[Row] = []
         while self._uncommitted and self._uncommitted[0].index <= index:
-            entry = self._uncommitted.popleft()
-            for row in entry.rows:
-                if row[0] in PUBLIC:
-                    self._published[row[0], row[1]] = (entry.index, row[2])
-                    rows.append(row)
+            rows += self._commit_entry(self._uncommitted.popleft())
         if self.ready and not was_ready:
-            self._recent_from = index
-            self._recent.clear()
+            self._recent_public.begin(index)
             out.append(Restart())
         elif self.ready and rows:
-            self._recent.append((index, tuple(rows)))
-            if len(self._recent) > RECENT:
-                self._recent_from = self._recent.popleft()[0]
             out.append(Publish(index, tuple(rows)))
         while self._pending_replies and self._pending_replies[0].index <= index:
             owed = self._pending_replies.popleft()
@@ -473,24 +550,125 @@
             out += self._tell_done(owed.addr, owed.id, result)
         return out
 
+    def _commit_entry(self, entry: Entry) -> list[Row]:
+        """Its rows are committed; those that followers may have."""
+        for row in entry.rows:
+            self.state.set(entry.index, row)
+            self._folded.append((entry.index, row))
+            if self._overlay.get((row[0], row[1]), (0,))[0] == entry.index:
+                del self._overlay[row[0], row[1]]
+        self.state.index = entry.index
+        self._recent.add(entry)
+        public = [row for row in entry.rows if row[0] in PUBLIC]
+        if public:
+            self._recent_public.add(Entry(entry.index, tuple(public)))
+        return public
+
+    # --- copies
+
+    def _on_copy_request(self, addr: str, word: CopyRequest) -> list[Action]:
+        """Whatever has become of the view: what is sent is a prefix of what is committed."""
+        if not self.has_snapshot or not self._firm:
+            return []
+        piece = next_piece(self.state.rows, self._recent, self.state.index, word)
+        return [Tell(addr, piece)] if piece is not None else []
+
+    def _drop_entries(self) -> list[Action]:
+        """No member, or a new one: it goes on from the committed rows."""
+        if not self.snapshot_epoch and self.index == self.state.index:
+            return []
+        self._uncommitted.clear()
+        self._overlay.clear()
+        self.items.clear()
+        self._take_items((name, value) for name, (_, value) in self.state.published.items())
+        self.generation += 1
+        self.snapshot_epoch = 0
+        self.index = self.state.index
+        self.stored_index = -1
+        self.learner.begin_anew()
+        if self._firm:
+            self.learner.position = CopyPosition(COMPLETE, self.index)
+        self.learner.storing = True
+        store = self._log_store((), lineage=0, copy=self.learner.position.bucket)
+        store.cut = True
+        return [Restart(), store]
+
+    def _sources(self) -> list[str]:
+        """Who can send a copy, the best first: the one before it, else the tail: it has least to do."""
+        before = self._before()
+        if before:
+            return [before]
+        return [member.addr for member in reversed(self.view.members) if member.addr != self.me]
+
+    def _learn(self, now: int) -> list[Action]:
+        if self.has_snapshot or self._fed:
+            return []
+        request = self.learner.next_request(self._sources(), now)
+        return [Tell(self.learner.source, request)] if request is not None else []
+
+    def _on_copy_piece(self, addr: str, piece: CopyPiece, now: int) -> list[Action]:
+        if self.has_snapshot or self._fed or not self.learner.answered(addr, piece):
+            return []
+        learner, before = self.learner, self.learner.position
+        changes = taken(before, piece)
+        if piece.anew:
+            self._forget(piece.position.index)
+        for index, row in changes:
+            self.state.set(index, row)
+            self._take_items([((row[0], row[1]), row[2])])
+        for entry in piece.entries:
+            self._recent.add(entry)
+        learner.position = piece.position
+        self.state.index = self.index = self.commit_index = self._loaded = piece.position.index
+        try:
+            check(self.state.rows, piece)
+        except Differs:
+            return self._copy_again()
+        if learner.position == before and not changes:
+            return []
+        return [self._copy_store(changes, piece.anew)]
+
+    def _copy_store(self, changes: list[tuple[int, Row]], forget: bool) -> Store:
+        self.learner.storing = True
+        meta = {"place": self.index, "base": self.index, "lineage": 0, "copy": self.learner.position.bucket}
+        return Store(meta, changes, forget=forget, index=self.index, generation=self.generation)
+
+    def _copy_again(self) -> list[Action]:
+        self._forget(0)
+        self.learner.begin_anew()
+        return [self._copy_store([], forget=True)]
+
+    def _forget(self, index: int) -> None:
+        """A copy begins: what was held before counts for nothing."""
+        self.state.clear()
+        self.items.clear()
+        self.generation += 1
+        self._firm = True
+        self.index = self.stored_index = self.commit_index = self._loaded = 0
+        self._recent.begin(index)
+
     # --- what followers get
 
     @property
     def published(self) -> Mapping[Name, tuple[int, Any]]:
         """All that is agreed of what followers may have, with the place of each."""
-        return self._published
+        return self.state.published
 
     def configuration(self) -> dict[str, Any]:
         held = (
-            (name, msgspec.convert(row[1], Item)) for name, row in self._published.items() if name[0] in ITEMS
+            (name, msgspec.convert(row[1], Item)) for name, row in self.published.items() if name[0] in ITEMS
         )
         return layout(held)
 
-    def since(self, index: int) -> tuple[bool, int, tuple[Row, ...]]:
-        """Whether it is a snapshot, the index that it leads to, and the rows."""
+    def changes_since(self, index: int) -> tuple[int, tuple[Row, ...]] | None:
+        """The index that they lead to, and the rows; None where a follower has to take a copy."""
         if index > self.commit_index:
-            return False, index, ()  # it has seen more than this member: nothing until there is news for it
-        if index >= self._recent_from:
-            news = tuple(row for at, rows in self._recent if at > index for row in rows)
-            return False, self.commit_index, news
-        return True, self.commit_index, tuple((k, n, v) for (k, n), (_, v) in self._published.items())
+            return index, ()  # it has seen more than this member: nothing until there is news for it
+        if not self._recent_public.reaches(index):
+            return None
+        entries, _ = self._recent_public.after(index, RECENT_PUBLIC, RECENT_PUBLIC_BYTES)
+        return self.commit_index, tuple(row for entry in entries for row in entry.rows)
+
+    def public_piece(self, request: CopyRequest) -> CopyPiece | None:
+        """Of a follower's copy."""
+        return next_piece(self.state.public, self._recent_public, self.commit_index, request)
--- a/brackengate/lighthouse/replica.py
+++ b/brackengate/lighthouse/replica.py
@@ -13,8 +13,10 @@
     Ack,
     Append,
     Ballot,
-    ChainSnapshot,
     Command,
+    CopyPiece,
+    CopyRequest,
+    Entry,
     Line,
     Member,
     Position,
@@ -38,6 +40,9 @@
     taken_at: Ballot | None = None
     taken: View | None = None
     rows: Iterable[tuple[str, str, int, Any]] = ()
+    entries: Iterable[Entry] = ()  # that follow the rows, up to `index`
+    base: int | None = None  # the index up to which the rows are committed; None: they may not be
+    bucket: int = 0  # of a copy under way; COMPLETE: it is whole
 
 
 class Replica:
@@ -67,7 +72,7 @@
         )
         self.chain = self.chain_kind(me, min_replicas, window, kept.index, snapshot_epoch, now)
         self.chain.incarnation = kept.incarnation
-        self.chain.load(list(kept.rows), now)
+        self.chain.load(kept.rows, kept.entries, kept.base, kept.bucket, now)
         for addr in (*seeds, *(member.addr for member in self.agreement.view.members)):
             self.agreement.meet(addr, now)
 
@@ -82,7 +87,7 @@
         return out + self.chain.tick(now)
 
     def heard(self, addr: str, word: Line, now: int) -> list[Action]:
-        if isinstance(word, Submit | Result | Position | Append | ChainSnapshot | Ack):
+        if isinstance(word, Submit | Result | Position | Append | CopyRequest | CopyPiece | Ack):
             return self.chain.heard(addr, word, now)
         return self._settle(self.agreement.heard(addr, word, now, self.chain.log()), now)
 
--- a/brackengate/lighthouse/role.py
+++ b/brackengate/lighthouse/role.py
@@ -28,6 +28,8 @@
     Beat,
     Changes,
     Command,
+    CopyPosition,
+    CopyRequest,
     Core,
     Follow,
     FollowerCommand,
@@ -36,7 +38,6 @@
     Line,
     Result,
     Seen,
-    Snapshot,
 )
 
 log = logging.getLogger("brackengate.lighthouse")
@@ -44,6 +45,7 @@
 TICK_S = 0.05
 BEAT = 150_000  # a follower hears something at least so often, give or take a tick
 SLOW = 400_000  # a disk that takes longer over a write is not fit for a seat
+NO_COPY = CopyPosition()
 RETRY_S = 0.3  # a write that failed is tried again
 
 
@@ -54,6 +56,7 @@
     follows: bool = False
     said: int = 0
     tells: bool = False
+    copying: bool = False  # it asks for one piece of a copy after the other; changes come after the last one
 
 
 class Lighthouse:
@@ -107,7 +110,7 @@
             self.me,
             view.epoch,
             chain.index,
-            len(chain.rows),
+            chain.state.rows.count,
         )
         self._carry_out(self.replica.start(now))
         self._tick()
@@ -251,11 +254,15 @@
     def _from_pilot(self, follower: Follower, word: Line) -> None:
         if isinstance(word, Follow):
             follower.index, follower.follows, follower.tells = word.index, True, word.tells
+            follower.copying = False
             if self.replica.serves(self.now()):
                 self._say(follower, self._core_line())
-                self._catch_up(follower, even_none=True)
+                self._catch_up(follower, word.copy, even_none=True)
             else:
                 self._say(follower, Away())
+        elif isinstance(word, CopyRequest):
+            if follower.follows:
+                self._send_piece(follower, word)
         elif isinstance(word, FollowerCommand):
 
             def done(result: Any) -> None:
@@ -281,18 +288,34 @@
         follower.said = self.now()
         follower.lines.send(word)
 
-    def _catch_up(self, follower: Follower, even_none: bool = False) -> None:
-        whole, index, rows = self.replica.chain.since(follower.index)
-        if whole:
-            self._say(follower, Snapshot(index, rows))
-        elif rows or even_none:
+    def _catch_up(self, follower: Follower, copy: CopyPosition = NO_COPY, even_none: bool = False) -> None:
+        """`copy`: how far a copy is that it has begun."""
+        news = self.replica.chain.changes_since(follower.index)
+        if news is None:
+            if not follower.copying:
+                self._send_piece(follower, CopyRequest(0, copy))
+            return
+        follower.copying = False
+        index, rows = news
+        if rows or even_none:
             self._say(follower, Changes(index, rows))
         follower.index = max(follower.index, index)
 
+    def _send_piece(self, follower: Follower, request: CopyRequest) -> None:
+        piece = self.replica.chain.public_piece(request) if self.replica.serves(self.now()) else None
+        if piece is None:
+            follower.follows = follower.copying = False
+            self._say(follower, Away())
+            return
+        follower.copying = piece.total is None
+        if piece.total is not None:
+            follower.index = max(follower.index, piece.position.index)
+        self._say(follower, piece)
+
     def _publish(self, news: Publish) -> None:
         data, now = encoded(Changes(news.index, news.rows)), self.now()
         for follower in self._followers.values():
-            if follower.follows and follower.index < news.index:
+            if follower.follows and not follower.copying and follower.index < news.index:
                 follower.index, follower.said = news.index, now
                 follower.lines.send_raw(data)
 
--- a/brackengate/lighthouse/standing.py
+++ b/brackengate/lighthouse/standing.py
@@ -42,7 +42,7 @@
         agreement.disk_healthy,
         agreement.leaves,
         agreement.epoch_closed,
-        len(chain.born),
+        chain.state.keys,
         sum(1 for (kind, _), item in chain.items.items() if kind == "route" and item.body is not None),
         sum(1 for (kind, _), item in chain.items.items() if kind == "plant" and item.body is not None),
         _duties(replica, now),
--- a/brackengate/lighthouse/store.py
+++ b/brackengate/lighthouse/store.py
@@ -4,8 +4,10 @@
 of no use on a disk that only one process has.  A commit is synced as a whole (`synchronous=FULL`); what a
 loss of power tears behind the last sync is found by the log's own checksums and left out.
 
-Form 2 has all of `meta` in one value, `state`, behind its checksum; form 1 had a row for each.  With each
-commit it says the number of commits and the sum of all rows (`tally`).  sqlite leaves out all of its log
+From form 3 on the committed rows are in `rows`, and in `log` the entries after them that were not committed
+when they were written; before, rows were written with their entry, committed or not.  From form 2 on all of
+`meta` is in one value, `state`, behind its checksum; form 1 had a row for each.  With each commit it says the
+number of commits and the sum of all rows and entries (`tally`).  sqlite leaves out all of its log
 behind a broken place without a word, so the number of commits is also told to a small file beside it, after
 each commit and without a sync: it may be behind the file after a loss of power, never ahead of it.
 
@@ -24,7 +26,7 @@
 import logging
 import os
 import sqlite3
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any, Protocol
@@ -34,15 +36,18 @@
 
 from brackengate.lighthouse.actions import Store
 from brackengate.lighthouse.replica import FIRST, StoredState
+from brackengate.lighthouse.rows import CommittedRows, LoadedRows, is_deletion
 from brackengate.lighthouse.view import NOBODY
-from brackengate.signals.words import Ballot, View
+from brackengate.signals.words import Ballot, Entry, Row, View
 
 log = logging.getLogger("brackengate.lighthouse.store")
 
-FORM = 2
+FORM = 3
 NAME = "lighthouse.db"
 ASIDE = f"{NAME}.damaged"
 TALLY = "lighthouse.tally"
+LOG_TABLE = "CREATE TABLE log (place INTEGER PRIMARY KEY, value BLOB)"
+LOAD_AT_ONCE = 50_000  # rows that are held twice while they are read
 NO_SOUND_FILE = (sqlite3.SQLITE_CORRUPT, sqlite3.SQLITE_NOTADB)
 
 
@@ -122,6 +127,7 @@
             "CREATE TABLE rows (kind TEXT, name TEXT, place INTEGER, value BLOB,"
             " PRIMARY KEY (kind, name)) WITHOUT ROWID"
         )
+        run(LOG_TABLE)
         disk.write([Store({"form": FORM, "inc": incarnation})])
     finally:
         disk.close()
@@ -153,7 +159,8 @@
         self.path = path
         self._meta: dict[str, msgspec.Raw] = {}  # as on disk
         self._form = 0  # of what is on disk; 0: nothing
-        self._count = self._sum = 0  # commits, and the sum of all rows, on disk
+        self._count = self._sum = 0  # commits, and the sum of all rows and entries, on disk
+        self._log: dict[int, int] = {}  # the entries on disk, each with its part of the sum
         self._told: int | None = None  # the small file, open
         self.db = sqlite3.connect(path, isolation_level=None, check_same_thread=False)
         self.db.text_factory = bytes  # text of a damaged file may be no UTF-8
@@ -172,7 +179,7 @@
             raise NewerForm(
                 f"{self.path}: written by a newer program (form {self._form}, this one reads {FORM})"
             )
-        if self._form == FORM:
+        if self._form > 1:
             total, text = meta.get(b"state", b"")[:8], meta.get(b"state", b"")[8:]
             if total != b"%08x" % crc32(text):
                 raise Damaged("the sum over meta does not hold")
@@ -186,12 +193,10 @@
         lost = self._last_told(incarnation) - self._count
         if lost > 0:
             raise Damaged(f"commits that were on the disk are gone from its end: {lost}")
-        rows: list[tuple[str, str, int, Any]] = []
-        for kind, name, place, value in self.db.execute("SELECT kind, name, place, value FROM rows"):
-            self._sum += _sum_of(kind, name, place, value)
-            rows.append((kind.decode(), name.decode(), place, msgspec.json.decode(value)))
-        if self._form == FORM and held_sum != self._sum:
-            raise Damaged(f"the sum over its {len(rows)} rows does not hold")
+        rows = self._read_rows()
+        entries = self._read_log() if self._form > 2 else []
+        if self._form > 1 and held_sum != self._sum:
+            raise Damaged(f"the sum over its {len(rows.rows)} rows does not hold")
         for (found,) in self.db.execute("PRAGMA quick_check(1)"):
             if found != b"ok":
                 raise Damaged(found.decode(errors="replace"))
@@ -204,42 +209,53 @@
             self._get("taken_at", Ballot),
             self._get("taken", View),
             rows,
+            entries,
+            self._get("base", int),
+            self._get("copy", int) or 0,
         )
         if self._form < FORM:
             self.write([])
         return kept
 
+    def _read_rows(self) -> LoadedRows:
+        loaded = LoadedRows(CommittedRows(), [], 0)
+        waiting: list[tuple[int, bytes]] = []
+        for kind, name, place, value in self.db.execute("SELECT kind, name, place, value FROM rows"):
+            self._sum += _sum_of(kind, name, place, value)
+            if self._form < FORM or kind != b"key":
+                held = msgspec.json.decode(value)
+                if kind != b"key":  # others are few
+                    loaded.others.append((kind.decode(), name.decode(), place, held))
+            waiting.append(loaded.record(kind, name, place, value))
+            if len(waiting) >= LOAD_AT_ONCE:
+                loaded.rows.join(waiting)
+                waiting.clear()
+        loaded.rows.join(waiting)
+        return loaded
+
+    def _read_log(self) -> list[Entry]:
+        entries = []
+        for place, value in self.db.execute("SELECT place, value FROM log ORDER BY place"):
+            self._log[place] = _sum_of(b"", b"", place, value)
+            entries.append(Entry(place, msgspec.json.decode(value, type=tuple[Row, ...])))
+        self._sum += sum(self._log.values())
+        return entries
+
     def _get(self, name: str, kind: Any) -> Any:
         value = self._meta.get(name)
         return msgspec.json.decode(value, type=kind | None) if value is not None else None
 
     def write(self, stores: Iterable[Store]) -> None:
         """All of it or nothing, and on the disk when this returns; sqlite3.Error where it can't be."""
-        run, encode = self.db.execute, msgspec.json.encode
-        meta, total = self._meta.copy(), self._sum
+        change = _Change(self.db.execute, self._meta.copy(), self._sum, self._log.copy())
+        run = self.db.execute
         run("BEGIN IMMEDIATE")
         try:
             if self._form < FORM:
-                run("DELETE FROM meta")
-                run("INSERT INTO meta VALUES ('form', ?)", (encode(FORM),))
+                self._raise_form()
             for store in stores:
-                if store.forget:
-                    run("DELETE FROM rows")
-                    total = 0
-                for name, meant in store.meta.items():
-                    meta[name] = msgspec.Raw(encode(meant))
-                for place, (kind, name, value) in store.rows:
-                    held = run("SELECT place, value FROM rows WHERE kind = ? AND name = ?", (kind, name))
-                    for old in held.fetchall():
-                        total -= _sum_of(kind.encode(), name.encode(), *old)
-                    if kind == "key" and value is None:
-                        run("DELETE FROM rows WHERE kind = ? AND name = ?", (kind, name))
-                        continue
-                    new = encode(value)
-                    total += _sum_of(kind.encode(), name.encode(), place, new)
-                    run("INSERT OR REPLACE INTO rows VALUES (?, ?, ?, ?)", (kind, name, place, new))
-            meta["tally"] = msgspec.Raw(encode((self._count + 1, total)))
-            text = encode(meta)
+                change.make(store)
+            text = change.told(self._count + 1)
             run("INSERT OR REPLACE INTO meta VALUES ('state', ?)", (b"%08x%b" % (crc32(text), text),))
             run("COMMIT")
         except BaseException as error:
@@ -248,10 +264,15 @@
             if isinstance(error, sqlite3.Error) and _full(error):
                 _make_room(self.path)
             raise
-        self._meta, self._form = meta, FORM
-        self._count, self._sum = self._count + 1, total
+        self._meta, self._form = change.meta, FORM
+        self._count, self._sum, self._log = self._count + 1, change.sum, change.log
         self._tell()
 
+    def _raise_form(self) -> None:
+        self.db.execute("DELETE FROM meta")
+        self.db.execute("INSERT INTO meta VALUES ('form', ?)", (msgspec.json.encode(FORM),))
+        self.db.execute(LOG_TABLE.replace("TABLE", "TABLE IF NOT EXISTS"))
+
     # --- the number of commits, told apart
 
     def _last_told(self, incarnation: str) -> int:
@@ -281,6 +302,59 @@
             self._told = None
 
 
+class _Change:
+    """What one commit changes; `meta`, `sum` and `log` are as they are once it is on the disk."""
+
+    def __init__(
+        self,
+        run: Callable[..., sqlite3.Cursor],
+        meta: dict[str, msgspec.Raw],
+        total: int,
+        log: dict[int, int],
+    ) -> None:
+        self._run, self.meta, self.sum, self.log = run, meta, total, log
+
+    def make(self, store: Store) -> None:
+        if store.forget:
+            self._run("DELETE FROM rows")
+            self.sum = sum(self.log.values())
+        if store.forget or store.cut:
+            self._drop_entries(max(self.log, default=0))
+        for name, meant in store.meta.items():
+            self.meta[name] = msgspec.Raw(msgspec.json.encode(meant))
+        for place, row in store.rows:
+            self._row(place, *row)
+        self._drop_entries(store.committed)
+        for entry in store.entries:
+            value = msgspec.json.encode(entry.rows)
+            self._run("INSERT INTO log VALUES (?, ?)", (entry.index, value))
+            self.log[entry.index] = _sum_of(b"", b"", entry.index, value)
+            self.sum += self.log[entry.index]
+
+    def told(self, count: int) -> bytes:
+        self.meta["tally"] = msgspec.Raw(msgspec.json.encode((count, self.sum)))
+        return msgspec.json.encode(self.meta)
+
+    def _row(self, place: int, kind: str, name: str, value: Any) -> None:
+        run, key = self._run, (kind, name)
+        for old in run("SELECT place, value FROM rows WHERE kind = ? AND name = ?", key).fetchall():
+            self.sum -= _sum_of(kind.encode(), name.encode(), *old)
+        if is_deletion(kind, value):
+            run("DELETE FROM rows WHERE kind = ? AND name = ?", key)
+            return
+        new = msgspec.json.encode(value)
+        self.sum += _sum_of(kind.encode(), name.encode(), place, new)
+        run("INSERT OR REPLACE INTO rows VALUES (?, ?, ?, ?)", (kind, name, place, new))
+
+    def _drop_entries(self, index: int) -> None:
+        """Those up to that one."""
+        gone = [place for place in self.log if place <= index]
+        if gone:
+            self._run("DELETE FROM log WHERE place <= ?", (index,))
+        for place in gone:
+            self.sum -= self.log.pop(place)
+
+
 def _sum_of(kind: bytes, name: bytes, place: int, value: bytes) -> int:
     return crc32(value, crc32(b"%b\0%b\0%d\0" % (kind, name, place)))
 
--- a/brackengate/lighthouse/view.py
+++ b/brackengate/lighthouse/view.py
@@ -37,6 +37,7 @@
 GAP = 350_000  # this process stood still: nothing that it believes of the others is fresh
 RANK = 400_000  # each seat in front gets this long to do the duty
 CHANGE_TIMEOUT = 500_000  # a bid without an outcome is made anew
+ADMISSION_LAG = 1_000  # entries that a learner's copy may lack when it takes its seat
 APART = 500_000  # two that do not hear each other for so long, by their own word
 NEVER = -(2**60)
 NOBODY: Ballot = (0, "")
@@ -212,6 +213,7 @@
             self.zone,
             hears,
             self.leaves,
+            copied=log.copied,
         )
         others = dict.fromkeys([member.addr for member in self.view.members if member.addr != self.me])
         others.update(dict.fromkeys(addr for addr in self.peers if self._worth_a_ping(addr, now)))
@@ -316,11 +318,13 @@
         said = self.peers[member.addr].said if member.addr in self.peers else None
         return said is not None and said.incarnation != member.incarnation
 
-    def _admissible_learner(self, alive: list[Member], now: int) -> Member | None:
+    def _admissible_learner(self, alive: list[Member], now: int, log: LogStatus) -> Member | None:
         for addr in sorted(self.peers):
             said = self._fresh(addr, now)
             if said is None or not said.joining or not self.hears(addr, now):
                 continue
+            if said.copied < max(0, log.commit_index - ADMISSION_LAG):
+                continue
             others = [member.addr for member in alive if member.addr != self.me]
             told = [self._fresh(other, now) for other in others]
             if all(
@@ -338,7 +342,7 @@
                 return []
             self._change = None
         alive = self._live_members(now)
-        joiner = self._admissible_learner(alive, now) if log.caught_up_epoch == self.view.epoch else None
+        joiner = self._admissible_learner(alive, now, log) if log.caught_up_epoch == self.view.epoch else None
         kept = self._staying_members(alive)
         if joiner is not None:
             kept = [*kept, joiner]
--- a/brackengate/pilot/follow.py
+++ b/brackengate/pilot/follow.py
@@ -14,13 +14,18 @@
 from dataclasses import dataclass
 from typing import Any
 
+from brackengate.lighthouse.transfer import NOTHING, Differs
 from brackengate.net.sockets import parse_address
+from brackengate.pilot.copy import PublicCopy
 from brackengate.pilot.table import Table
 from brackengate.signals.lines import Dialer
 from brackengate.signals.words import (
     Away,
     Changes,
     Command,
+    CopyPiece,
+    CopyPosition,
+    CopyRequest,
     Core,
     Follow,
     FollowerCommand,
@@ -29,7 +34,6 @@
     Look,
     Result,
     Seen,
-    Snapshot,
 )
 
 log = logging.getLogger("brackengate.follow")
@@ -64,6 +68,7 @@
         self.addr, self._follow = addr, follow
         self.heard = follow.now()
         self.good = False
+        self._asked, self._request = NOTHING, 0  # the piece of a copy that comes next
         host = parse_address(addr)[0]
         self._dialer = Dialer((host, follow.port), self._line, self._opened, self._ended, tries=1)
 
@@ -76,7 +81,16 @@
     def _opened(self, dialer: Dialer) -> None:
         self.heard = self._follow.now()
         dialer.send(Hello(self._follow.me, pilot=True))
-        dialer.send(Follow(self._follow.table.index, tells=True))
+        self._asked, self._request = self._follow.copy.position, 0
+        dialer.send(Follow(self._follow.table.index, tells=True, copy=self._asked))
+
+    def ask_for_piece(self, position: CopyPosition) -> None:
+        self._asked, self._request = position, self._request + 1
+        self.send(CopyRequest(self._request, position))
+
+    def asked_for(self, piece: CopyPiece) -> CopyPosition | None:
+        """The position that this piece follows; None where it answers no open request."""
+        return self._asked if piece.id in (0, self._request) else None
 
     def _line(self, word: Line) -> None:
         self.heard = self._follow.now()
@@ -101,6 +115,7 @@
         """`seeds`: asked again whenever nobody else is known who answers.  `changed`: told what kinds of rows
         have changed, once the table has them.  `wake`: what was decided of an attempt, for an operator."""
         self._wake = wake
+        self.copy = PublicCopy()
         self.me, self.zone, self.port, self.table, self.now = me, zone, port, table, now
         self._seeds, self._changed = seeds, changed
         self._members: dict[str, str] = {}
@@ -201,16 +216,37 @@
             if question is not None:
                 question.timer.cancel()
                 question.done(word.result)
-        elif isinstance(word, Snapshot | Changes):
-            if not link.good:
-                self._followed(link)
-            take = self.table.snapshot if isinstance(word, Snapshot) else self.table.changes
-            changed = take(word.index, word.rows)
-            if changed:
-                self._changed(changed)
+        elif isinstance(word, Changes):
+            self._followed(link)
+            self.copy.begin_anew()
+            self._told(self.table.changes(word.index, word.rows))
+        elif isinstance(word, CopyPiece):
+            self._followed(link)
+            self._piece(link, word)
+
+    def _piece(self, link: Link, piece: CopyPiece) -> None:
+        asked = link.asked_for(piece)
+        if asked is None:
+            return
+        try:
+            whole = self.copy.take(asked, piece)
+        except Differs as why:
+            log.error("follow: step copy, from %s: it differs: %s", link.addr, why)
+            self.lost(link, "its copy differs")
+            return
+        if whole:
+            self._told(self.table.snapshot(*self.copy.whole()))
+        else:
+            link.ask_for_piece(self.copy.position)
+
+    def _told(self, changed: set[str]) -> None:
+        if changed:
+            self._changed(changed)
 
     def _followed(self, link: Link) -> None:
         """It is in touch: what was asked is asked again there."""
+        if link.good:
+            return
         link.good = True
         if link is self._home:
             old, self._link, self._home = self._link, link, None
--- a/brackengate/signals/words.py
+++ b/brackengate/signals/words.py
@@ -48,6 +48,29 @@
     rows: tuple[Row, ...]
 
 
+class CommittedRow(msgspec.Struct, frozen=True, array_like=True):
+    """A committed row, with the log index of the entry that it comes from."""
+
+    kind: str
+    name: str
+    index: int
+    value: Any
+
+
+class CopyPosition(msgspec.Struct, frozen=True, array_like=True):
+    """How far a copy is: it holds the rows of all buckets below `bucket` as they stood at `index`."""
+
+    bucket: int = 0
+    index: int = 0
+
+
+class CopyTotal(msgspec.Struct, frozen=True, array_like=True):
+    """What a complete copy holds: a copy that differs from it does not count."""
+
+    count: int
+    checksum: int
+
+
 Ballot = tuple[int, str]
 
 
@@ -175,24 +198,19 @@
 
 
 class Position(Word, frozen=True, tag="have"):
-    """To the one before in the chain: send what follows this index; -1: everything."""
+    """To the one before in the chain: send what follows this index."""
 
     epoch: int
     index: int
 
 
 class Append(Word, frozen=True, tag="fwd"):
+    """The entries that follow an index, each as it was made."""
+
     epoch: int
     after: int
     entries: tuple[Entry, ...]
-
-
-class ChainSnapshot(Word, frozen=True, tag="whole"):
-    """A snapshot for a member that takes its seat: it forgets what it held."""
-
-    epoch: int
-    index: int
-    rows: tuple[tuple[str, str, int, Any], ...]  # with the place of each
+    until: int = 0  # what the sender has stored: a new member holds all that it owes from there on
 
 
 class Ack(Word, frozen=True, tag="ack"):
@@ -214,14 +232,40 @@
     result: Any
 
 
+# --- copies: of a replica for a learner, of the public rows for a follower
+
+
+class CopyRequest(Word, frozen=True, tag="copy?"):
+    """Send the next piece of the copy.  Asked for once the piece before it is stored."""
+
+    id: int  # comes back with the piece; one that answers no open request is left alone
+    position: CopyPosition
+
+
+class CopyPiece(Word, frozen=True, tag="copy"):
+    """The entries that bring what is held to a later index, then the rows that come next.
+
+    `anew`: the entries after the position's index are gone, so that the copy begins at its first row.
+    `total`: with this piece the copy is complete.
+    """
+
+    id: int
+    position: CopyPosition  # with this piece taken
+    anew: bool = False
+    entries: tuple[Entry, ...] = ()
+    rows: tuple[CommittedRow, ...] = ()
+    total: CopyTotal | None = None
+
+
 # --- between a pilot and a lighthouse
 
 
 class Follow(Word, frozen=True, tag="follow"):
-    """Send the changes from this index on; a snapshot first where they are not at hand."""
+    """Send the changes from this index on; a copy of the public rows first where they are not at hand."""
 
     index: int
     tells: bool = False  # it answers `Look`
+    copy: CopyPosition = CopyPosition()  # of a copy that was cut off
 
 
 class FollowerCommand(Word, frozen=True, tag="ask"):
@@ -229,11 +273,6 @@
     what: Command
 
 
-class Snapshot(Word, frozen=True, tag="snap"):
-    index: int
-    rows: tuple[Row, ...]
-
-
 class Changes(Word, frozen=True, tag="chg"):
     index: int
     rows: tuple[Row, ...] = ()
@@ -318,13 +357,13 @@
     | Outvoted
     | Position
     | Append
-    | ChainSnapshot
+    | CopyRequest
+    | CopyPiece
     | Ack
     | Submit
     | Result
     | Follow
     | FollowerCommand
-    | Snapshot
     | Changes
     | Core
     | Beat
--- a/brackengate/soundings/chart.py
+++ b/brackengate/soundings/chart.py
@@ -12,7 +12,8 @@
     Accepted,
     Ack,
     Append,
-    ChainSnapshot,
+    CopyPiece,
+    CopyRequest,
     Line,
     NewView,
     Outvoted,
@@ -144,8 +145,10 @@
             return f"view {epoch}: has {index if index >= 0 else 'nothing'}"
         case Append(epoch, after, entries):
             return f"view {epoch}: after {after}: {' '.join(str(e.index) for e in entries) or 'nothing'}"
-        case ChainSnapshot(epoch, index):
-            return f"view {epoch}: all up to {index}"
+        case CopyRequest(_, position):
+            return f"copy: what follows bucket {position.bucket} at {position.index}?"
+        case CopyPiece(_, position):
+            return f"copy: up to bucket {position.bucket} at {position.index}"
         case Ack(epoch, index):
             return f"view {epoch}: stored {index}"
         case Submit(_, what):
--- a/brackengate/soundings/disk.py
+++ b/brackengate/soundings/disk.py
@@ -9,33 +9,52 @@
 
 from brackengate.lighthouse.actions import Store
 from brackengate.lighthouse.replica import StoredState
+from brackengate.lighthouse.rows import is_deletion
 from brackengate.lighthouse.view import NOBODY
-from brackengate.signals.words import Ballot, View
+from brackengate.signals.words import Ballot, Entry, Row, View
 
 
 @dataclass
 class DiskState:
     incarnation: str = ""
     meta: dict[str, bytes] = field(default_factory=dict)
-    rows: dict[tuple[str, str], tuple[int, bytes]] = field(default_factory=dict)
+    committed: dict[tuple[str, str], tuple[int, bytes]] = field(default_factory=dict)
+    entries: dict[int, bytes] = field(default_factory=dict)
 
     def write(self, store: Store) -> None:
         if store.forget:
-            self.rows.clear()
+            self.committed.clear()
+        if store.forget or store.cut:
+            self.entries.clear()
         for name, value in store.meta.items():
             self.meta[name] = msgspec.json.encode(value)
-        for index, (kind, name, value) in store.rows:
-            if kind == "key" and value is None:
-                self.rows.pop((kind, name), None)
-            else:
-                self.rows[kind, name] = (index, msgspec.json.encode(value))
+        for index, row in store.rows:
+            _lay(self.committed, index, row)
+        for index in [index for index in self.entries if index <= store.committed]:
+            del self.entries[index]
+        for entry in store.entries:
+            self.entries[entry.index] = msgspec.json.encode(entry)
+
+    @property
+    def rows(self) -> dict[tuple[str, str], tuple[int, bytes]]:
+        """All that is there, committed or not."""
+        rows = self.committed.copy()
+        for entry in self._log():
+            for row in entry.rows:
+                _lay(rows, entry.index, row)
+        return rows
+
+    def _log(self) -> list[Entry]:
+        return [msgspec.json.decode(data, type=Entry) for _, data in sorted(self.entries.items())]
 
     def get(self, name: str, kind: Any, default: Any) -> Any:
         found = msgspec.json.decode(self.meta[name], type=kind) if name in self.meta else None
         return default if found is None else found
 
     def kept(self) -> StoredState:
-        rows = [(k, n, index, msgspec.json.decode(value)) for (k, n), (index, value) in self.rows.items()]
+        rows = [
+            (k, n, index, msgspec.json.decode(value)) for (k, n), (index, value) in self.committed.items()
+        ]
         return StoredState(
             self.incarnation,
             self.get("place", int, 0),
@@ -45,4 +64,15 @@
             self.get("taken_at", Ballot | None, None),
             self.get("taken", View | None, None),
             rows,
+            self._log(),
+            self.get("base", int | None, None),
+            self.get("copy", int, 0),
         )
+
+
+def _lay(rows: dict[tuple[str, str], tuple[int, bytes]], index: int, row: Row) -> None:
+    kind, name, value = row
+    if is_deletion(kind, value):
+        rows.pop((kind, name), None)
+    else:
+        rows[kind, name] = (index, msgspec.json.encode(value))
