--- a/brackengate/lighthouse/rows.py
+++ b/brackengate/lighthouse/rows.py
@@ -189,28 +189,27 @@
         return iter(self.rows)
 
 
-class LatestRows:
+class LatestRows(Mapping[Name, tuple[int, Any]]):
     """The committed rows with those laid over them that are not committed yet; each with its index."""
 
     def __init__(self, state: State, overlay: Mapping[Name, tuple[int, Any]]) -> None:
         self._state, self._overlay = state, overlay
 
-    def get(self, name: Name) -> tuple[int, Any] | None:
+    def __getitem__(self, name: Name) -> tuple[int, Any]:
         held = self._overlay.get(name)
         if held is None:
-            return self._state.rows.get(*name)
-        return None if is_deletion(name[0], held[1]) else held
-
-    def __contains__(self, name: Name) -> bool:
-        return self.get(name) is not None
+            held = self._state.rows.get(*name)
+        if held is None or is_deletion(name[0], held[1]):
+            raise KeyError(name)
+        return held
 
-    def items(self) -> Iterator[tuple[Name, tuple[int, Any]]]:
-        for kind, name, index, value in self._state.rows:
+    def __iter__(self) -> Iterator[Name]:
+        for kind, name, _, _ in self._state.rows:
             if (kind, name) not in self._overlay:
-                yield (kind, name), (index, value)
+                yield kind, name
         for (kind, name), held in self._overlay.items():
             if not is_deletion(kind, held[1]):
-                yield (kind, name), held
+                yield kind, name
 
     def __len__(self) -> int:
-        return sum(1 for _ in self.items()) if self._overlay else self._state.rows.count
+        return sum(1 for _ in self)
