--- a/benchmarks/snapshots.py
+++ b/benchmarks/snapshots.py
@@ -272,7 +272,8 @@
 def line(told: Told) -> str:
     took = "never" if told.took_s is None else f"{told.took_s:.2f}"
     return (
-        f"{told.rows:>10,} | {told.start_s:7.2f} {told.start_memory:4.0f} | {took:>11} {told.megabytes:8.1f} |"
+        f"{told.rows:>10,} | {told.start_s:7.2f} {told.start_memory:4.0f} |"
+        f" {took:>11} {told.megabytes:8.1f} |"
         f" {told.stop_ms:20.0f} {told.members_stop_ms:8.0f} |"
         f" {told.memory:16.0f} {told.members_memory:8.0f} | {told.claim_ms:16.0f}"
     )
--- a/brackengate/signals/words.py
+++ b/brackengate/signals/words.py
@@ -125,6 +125,47 @@
 Command = Amend | Read | Claim | Unclaim | Report | Suspect
 
 
+# --- what becomes of a command
+
+
+class CommandDone(msgspec.Struct, tag_field="t", tag="ok", frozen=True):
+    """It holds: agreed, whether it changed anything or was so already."""
+
+
+class HeldBy(msgspec.Struct, tag_field="t", tag="held_by", frozen=True):
+    """A claim: another one holds the key."""
+
+    owner: str  # the pilot
+    attempt: str
+
+
+class InvalidOrder(msgspec.Struct, tag_field="t", tag="invalid", frozen=True):
+    """An order of the operator that must not be in force, in any part."""
+
+    reason: str
+
+
+class ConflictingOrder(msgspec.Struct, tag_field="t", tag="conflict", frozen=True):
+    """Another order was acknowledged with other content under the same version; no part is in force."""
+
+    reason: str
+
+
+class UndecidedOrder(msgspec.Struct, tag_field="t", tag="undecided", frozen=True):
+    """Whether it was acknowledged before is no longer known; no part is in force by it now."""
+
+    reason: str
+
+
+class Configuration(msgspec.Struct, tag_field="t", tag="configuration", frozen=True):
+    """All items that stand, as the operator's first call lays them out."""
+
+    content: dict[str, Any]
+
+
+CommandResult = CommandDone | HeldBy | InvalidOrder | ConflictingOrder | UndecidedOrder | Configuration
+
+
 # --- among lighthouses
 
 
@@ -221,15 +262,22 @@
 
 
 class Submit(Word, frozen=True, tag="do"):
-    """To the head: an ask that came to another member."""
+    """To the head: a command that came to another replica.
+
+    `epoch`: of the view in which it was submitted.  One that lay in a queue until the view was another one
+    is not taken: its sender has submitted it anew, or has told its caller nothing and been told to stop.
+    """
 
     id: int
     what: Command
+    epoch: int = 0
 
 
 class Result(Word, frozen=True, tag="done"):
+    """`result` None: it is not known what becomes of the command."""
+
     id: int
-    result: Any
+    result: CommandResult | InquiryResult | None
 
 
 # --- copies: of a replica for a learner, of the public rows for a follower
@@ -400,6 +448,12 @@
     leaves: bool = False
 
 
+class SeatAnswer(msgspec.Struct, tag_field="t", tag="seat", frozen=True, omit_defaults=True):
+    """To `Leave` and `Rejoin`.  `refused`: why it does not; empty: it does."""
+
+    refused: str = ""
+
+
 class Follows(msgspec.Struct, frozen=True, omit_defaults=True):
     """A pilot that follows this lighthouse."""
 
@@ -409,7 +463,13 @@
     wake: tuple[dict[str, Any], ...] = ()  # what it decided of the attempt that was asked for
 
 
-class Standing(msgspec.Struct, frozen=True, omit_defaults=True):
+class Followers(msgspec.Struct, tag_field="t", tag="followers", frozen=True):
+    """To `Explain`: the pilots that follow, each with what it decided."""
+
+    pilots: tuple[Follows, ...]
+
+
+class Standing(msgspec.Struct, tag_field="t", tag="standing", frozen=True, omit_defaults=True):
     """One lighthouse, by its own word.  Places are of the log; -1: none is known."""
 
     addr: str
@@ -448,8 +508,11 @@
     body: dict[str, Any] | None = None
 
 
-class Items(msgspec.Struct, frozen=True):
+class Items(msgspec.Struct, tag_field="t", tag="items", frozen=True):
     serves: bool
     commit_index: int
     epoch: int
     items: tuple[HeldItem, ...]
+
+
+InquiryResult = SeatAnswer | Followers | Standing | Items
--- a/tests/lighthouse/test_copies.py
+++ b/tests/lighthouse/test_copies.py
@@ -15,7 +15,7 @@
 from brackengate.lighthouse.replica import FIRST
 from brackengate.lighthouse.rows import KEY, CommittedRows
 from brackengate.lighthouse.transfer import COMPLETE
-from brackengate.signals.words import Amend, Claim, CopyPiece, Line, Member, Unclaim, View
+from brackengate.signals.words import Amend, Claim, CommandDone, CopyPiece, Line, Member, Unclaim, View
 from brackengate.soundings.disk import DiskState
 
 NAMES = [f"10.0.0.{n}:80" for n in range(1, 6)]
@@ -85,7 +85,7 @@
 
     def claim(self, key: str, host: Host) -> None:
         def done(result: Any) -> None:
-            if result is not None and "gate" not in result:
+            if isinstance(result, CommandDone):
                 self.acked[key] = host.name
 
         host.ask(Claim(key, host.name, "1"), done)
@@ -344,7 +344,7 @@
         body = f'{{"Apply":{{"Plants":[{{"Name":"p{version % 7}","Revision":"r{version}"}}]}}}}'
 
         def done(result: Any) -> None:
-            orders[version] = result == {"ok": True}
+            orders[version] = isinstance(result, CommandDone)
 
         hosts[version % 3].ask(Amend(body), done)
 
