--- a/brackengate/soundings/chart.py
+++ b/brackengate/soundings/chart.py
@@ -12,10 +12,11 @@
     Accepted,
     Ack,
     Append,
-    ChainSnapshot,
     CommandResult,
     Configuration,
     ConflictingOrder,
+    CopyPiece,
+    CopyRequest,
     HeldBy,
     InvalidOrder,
     Line,
@@ -154,8 +155,10 @@
             return f"view {epoch}: has {index if index >= 0 else 'nothing'}"
         case Append(epoch, after, entries):
             return f"view {epoch}: after {after}: {' '.join(str(e.index) for e in entries) or 'nothing'}"
-        case ChainSnapshot(epoch, index):
-            return f"view {epoch}: all up to {index}"
+        case CopyRequest(_, position):
+            return f"copy: what follows bucket {position.bucket} at {position.index}?"
+        case CopyPiece(_, position):
+            return f"copy: up to bucket {position.bucket} at {position.index}"
         case Ack(epoch, index):
             return f"view {epoch}: stored {index}"
         case Submit(_, what):
