--- a/brackengate/lighthouse/chain.py
+++ b/brackengate/lighthouse/chain.py
@@ -51,6 +51,7 @@
 PRUNE_AT_ONCE = 200
 PRUNE = 1_000_000
 KEY = "key"
+COPIES_AS_MEMBER = 2**53  # a learner's copy is taken for complete: it is sent once it is a member
 
 
 @dataclass(slots=True)
@@ -116,7 +117,10 @@
     # --- where it stands
 
     def log(self) -> LogStatus:
-        return LogStatus(self.stored_index, self.has_snapshot, self.caught_up_epoch)
+        copied = -1 if self._chain_position() >= 0 else COPIES_AS_MEMBER
+        return LogStatus(
+            self.stored_index, self.has_snapshot, self.caught_up_epoch, self.commit_index, copied, self.index
+        )
 
     @property
     def has_snapshot(self) -> bool:
@@ -442,8 +446,6 @@
 
     def _commit(self, index: int) -> list[Action]:
         out: list[Action] = []
-        if len(self.view.members) < self.min_replicas:
-            return out
         before = self._before()
         if before:
             out.append(Tell(before, Ack(self.view.epoch, index)))
--- a/brackengate/signals/words.py
+++ b/brackengate/signals/words.py
@@ -117,11 +117,11 @@
     epoch: int
     index: int = 0  # stored
     caught_up_epoch: int = 0  # the epoch in which it has caught up with the one before it
-    joining: bool = False  # it holds no seat, and is fit for one
+    joining: bool = False  # it is no member, and wants to be one
     disk_healthy: bool = True  # its disk takes what it is given
     zone: str = ""
     hears: tuple[str, ...] = ()
-    leaves: bool = False  # it was told to give up its seat
+    leaves: bool = False  # it was told to leave
     sent: int = 0  # the sender's steady clock when it sent this; the pong brings it back
     copied: int = -1  # a learner's complete copy reaches to this index of the log; -1: it is not complete
 
@@ -130,6 +130,8 @@
     epoch: int
     sent: int = 0  # of the ping that this answers: a lease runs from its sending
     closed: bool = False  # the sender has promised to store nothing more in this epoch
+    incarnation: str = ""
+    copied: int = -1  # as in `Ping`
 
 
 class WantView(Word, frozen=True, tag="view?"):
@@ -148,12 +150,12 @@
 
 
 class Promise(Word, frozen=True, tag="prom"):
-    """The sender has sealed the epoch before this one: it stores nothing more in it."""
+    """The sender has closed the epoch before this one: it stores nothing more in it."""
 
     epoch: int
     ballot: Ballot
-    index: int
-    has_snapshot: bool  # it holds all that its seat owes
+    index: int  # of the last entry that it took: nothing after it is committed in the epoch
+    has_snapshot: bool  # it holds all that its membership owes
     taken_at: Ballot | None = None
     taken: View | None = None
 
--- a/brackengate/soundings/model.py
+++ b/brackengate/soundings/model.py
@@ -541,7 +541,7 @@
                 self._tell(name, effect[1], effect[2])
             elif kind == "pong":
                 if model.facts[self._host(effect[1])].up:
-                    self._act(effect[1], ("pong", name))
+                    self._act(effect[1], ("pong", name, effect[2]))
             elif kind == "answer":
                 self._answered(effect[1], msgspec.json.decode(effect[2]))
             elif kind == "bid":
--- a/brackengate/soundings/vessel.py
+++ b/brackengate/soundings/vessel.py
@@ -156,7 +156,8 @@
 
 def _still(replica: Replica) -> None:
     agreement, chain = replica.agreement, replica.chain
-    agreement._pinged = agreement._ticked = 0
+    agreement._pinged = agreement._ticked = agreement._adopted = 0
+    agreement._open_until = agreement._lease_from = agreement._admit_after = NEVER
     agreement._trouble = None
     agreement._apart.clear()
     for addr, peer in agreement.peers.items():
@@ -165,6 +166,8 @@
         else:
             peer.answered = peer.said_at = NEVER
         peer.refused, peer.ever = False, True
+        peer.pings, peer.open_epoch, peer.open_since, peer.copied = (), 0, NEVER, -1
+        peer.incarnation_at = 0 if peer.incarnation else NEVER
     if agreement._change is not None:
         agreement._change.at = 0
     chain._said_have = chain._pruned = 0
@@ -195,8 +198,9 @@
         match act:
             case ("hear", addr, line):
                 return replica.heard(addr, decode(line), 0)
-            case ("pong", addr):
-                return replica.heard(addr, Pong(0), 0)
+            case ("pong", addr, line):
+                agreement.peers[addr].on_ping_sent(0)
+                return replica.heard(addr, decode(line), 0)
             case ("met", addr):
                 replica.met(addr, 0)
                 return replica.reconnected(addr, 0)
@@ -239,7 +243,7 @@
                         if addr == me:
                             own.append(word)
                         elif isinstance(word, Pong):
-                            self.effects.append(("pong", addr))
+                            self.effects.append(("pong", addr, encode(word)))
                         elif not isinstance(word, Ping):  # those are events of their own
                             self.effects.append(("tell", addr, encode(_bare(word))))
                     case Store():
--- a/tests/lighthouse/test_core.py
+++ b/tests/lighthouse/test_core.py
@@ -268,7 +268,7 @@
             answers,
             Equals(
                 {
-                    "B": "2 members would be left and no other lighthouse waits for a seat;"
+                    "B": "2 members would be left and no other replica waits to be admitted;"
                     " it takes 3 to lose 1 more"
                 }
             ),
