Bring about members that are cut off for twenty seconds, and check leases at each step

Cause: no timeline had one-way cuts, links that hold their words, or freezes with cuts, and none looked whether a replica serves an old view. Change: the kit holds links and releases them, checks at each step of every run that whoever serves has in force what was agreed a lease ago, and lets machines be absent at the beginning. The role sends nothing to followers between two ticks without a lease, and names the members it knows to one that it sends away.

--- a/brackengate/lighthouse/role.py
+++ b/brackengate/lighthouse/role.py
@@ -161,8 +161,10 @@
                 if done is not None:
                     done(action.result)
             elif isinstance(action, Publish):
+                self._part_unless_current()
                 self._publish(action)
             elif isinstance(action, Restart):
+                self._part_unless_current()
                 for follower in self._followers.values():
                     if follower.follows:
                         self._catch_up(follower)
@@ -255,7 +257,7 @@
                 self._say(follower, self._core_line())
                 self._catch_up(follower, even_none=True)
             else:
-                self._say(follower, Away())
+                self._send_away(follower)
         elif isinstance(word, FollowerCommand):
 
             def done(result: Any) -> None:
@@ -296,16 +298,28 @@
                 follower.index, follower.said = news.index, now
                 follower.lines.send_raw(data)
 
+    def _send_away(self, follower: Follower) -> None:
+        """It may know of nobody but this side of a cut: it is told whom else to try."""
+        follower.follows = False
+        core = self._core_line()
+        if core.members:
+            self._say(follower, Core(core.members, touch=False))
+        self._say(follower, Away())
+
+    def _part_unless_current(self) -> None:
+        """Guards what is sent between two ticks: words of an old view may be read before the first tick."""
+        if not self.replica.serves(self.now()):
+            for follower in list(self._followers.values()):
+                if follower.follows:
+                    self._send_away(follower)
+
     def _keep_followers(self, now: int) -> None:
-        serves = self.replica.serves(now)
+        self._part_unless_current()
         core = self._core_line()
         for follower in list(self._followers.values()):
             if not follower.follows:
                 continue
-            if not serves:
-                follower.follows = False
-                self._say(follower, Away())
-            elif core != self._core:
+            if core != self._core:
                 self._say(follower, core)
             elif now - follower.said >= BEAT:
                 self._say(follower, Beat())
--- a/tests/lighthouse/corekit.py
+++ b/tests/lighthouse/corekit.py
@@ -2,7 +2,10 @@
 they are.
 
 A disk keeps what was stored whole; what was under way when power is lost is gone.  A link keeps the order of
-its lines; a cut holds them up and loses them when it is healed.
+its lines; a cut loses them; a link that is held keeps them, and they arrive together when it is released.
+
+At every step of every run, whoever serves followers is checked: what was agreed by `LEASE` ago is in force
+there.
 """
 
 from __future__ import annotations
@@ -17,6 +20,7 @@
 import msgspec
 
 from brackengate.lighthouse.actions import Action, Answer, Publish, Restart, Store, Tell
+from brackengate.lighthouse.failure_detector import LEASE
 from brackengate.lighthouse.replica import FIRST, Replica, StoredState
 from brackengate.lighthouse.store import NAME, open_disk
 from brackengate.signals.words import Command, Line
@@ -108,6 +112,7 @@
                 slow = self._writing and self.core.now < self.stalled_until
                 self.replica.set_disk_healthy(not slow)
                 self.do(self.replica.tick(self.core.now))
+                self.check_current()
             self.core.later(TICK, lambda: self._tick(generation))
 
     def hear(self, addr: str, line: bytes) -> None:
@@ -116,6 +121,21 @@
                 self.core.later(self.frozen_until - self.core.now + 1, lambda: self.hear(addr, line))
                 return
             self.do(self.replica.heard(addr, _decode(line), self.core.now))
+            self.check_current()
+
+    def check_current(self) -> None:
+        """Nothing that claims to be current is older than a lease."""
+        replica, core = self.replica, self.core
+        if replica is None:
+            return
+        epoch = replica.agreement.view.epoch
+        core.agreed.setdefault(epoch, core.now)
+        if replica.serves(core.now):
+            core.served[self.name] = core.now
+            newer = [since for other, since in core.agreed.items() if other > epoch]
+            assert all(
+                core.now - since <= LEASE for since in newer
+            ), f"{core.now} us: {self.name} serves by view {epoch}; agreed: {core.agreed}"
 
     def do(self, actions: Iterable[Action]) -> None:
         for action in actions:
@@ -170,8 +190,9 @@
         min_replicas: int = 2,
         seeds: int = 3,
         folder: Path | None = None,
+        absent: Iterable[str] = (),
     ) -> None:
-        """`folder`: the disks are real files there."""
+        """`folder`: the disks are real files there.  `absent`: hosts that are not there at the beginning."""
         self.disk: Callable[[str], DiskState | FileState] = lambda name: (
             DiskState() if folder is None else FileState(folder / name.partition(":")[0])
         )
@@ -179,14 +200,21 @@
         self.hosts = {name: Host(self, name) for name in names}
         self.seeds = list(self.hosts)[:seeds]
         self.cuts: set[tuple[str, str]] = set()
+        self.agreed: dict[int, int] = {}  # epochs, since when
+        self.served: dict[str, int] = {}  # who would serve followers, when last
+        self.holds: set[tuple[str, str]] = set()  # links whose lines lie in queues
+        self._queues: list[tuple[Host, str, bytes, int]] = []  # with the generation of the link
         self._held: dict[
             tuple[str, str], int
         ] = {}  # the generation of a link: lines of an older one are lost
         self._due: dict[tuple[str, str], int] = {}
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._count = 0
+        absent = set(absent)
         for host in self.hosts.values():
-            self.later(self.rng.randrange(300_000), lambda host=host: host.start(first=True))
+            late = self.rng.randrange(300_000)
+            if host.name not in absent:
+                self.later(late, lambda host=host: host.start(first=True))
 
     def number(self) -> int:
         self._count += 1
@@ -208,6 +236,9 @@
             return
         pair = (host.name, addr)
         generation = self._held.setdefault(pair, 0)
+        if pair in self.holds:
+            self._queues.append((host, addr, line, generation))
+            return
         due = max(self.now + NET + self.rng.randrange(200), self._due.get(pair, 0) + 1)
         self._due[pair] = due
         self.later(due - self.now, lambda: self._arrive(host, addr, line, pair, generation))
@@ -239,7 +270,26 @@
     def cut(self, pairs: Iterable[tuple[str, str]]) -> None:
         self.cuts.update(pairs)
 
+    def hold(self, pairs: Iterable[tuple[str, str]]) -> None:
+        self.holds.update(pairs)
+
+    def release(self) -> None:
+        """All that lies in queues arrives together, each link's lines in their order."""
+        queues, self._queues = self._queues, []
+        self.holds.clear()
+        for host, addr, line, generation in queues:
+            pair = (host.name, addr)
+            if generation == self._held[pair]:
+                due = self._due[pair] = max(self.now + NET, self._due.get(pair, 0))
+                self.later(
+                    due - self.now,
+                    lambda host=host, addr=addr, line=line, pair=pair, generation=generation: self._arrive(
+                        host, addr, line, pair, generation
+                    ),
+                )
+
     def heal(self) -> None:
+        self.release()
         touched = {name for pair in self.cuts for name in pair}
         self.cuts.clear()
         for name in touched:
--- a/tests/lighthouse/timeline.py
+++ b/tests/lighthouse/timeline.py
@@ -5,12 +5,15 @@
     3000  | down
     5000  |                claim k1 g2
 
-What a cell may say: `claim KEY GATE`, `free KEY GATE`; `down`, `wipe` (down, and the disk is lost), `up`;
+What a cell may say: `claim KEY GATE`, `free KEY GATE`, `order VERSION` (of one service), `read`;
+`down`, `wipe` (down, and the disk is lost), `up`;
 `damage TEXT` (down, and a byte of that text on the disk is spoilt);
-`cut` (from all), `mute` (what it sends is lost), `heal`; `stall MS` (its disk), `freeze MS`; `leave`,
-`replaced` (leave where others can take its place), `rejoin`; and what is looked at: `head`, `in`, `out` (of
-the view), `has KEY`, `serves`, `away`.  Answers are kept by cell, as in `answers["k1 g1"]`, and why a member
-does not leave by its column, as in `answers["A"]`.
+`cut` (from all, or `cut AB` from these), `mute` (what it sends is lost), `deaf` (what is sent to it is lost),
+`hold`, `holdout`, `holdin` (both ways, or one: it lies in queues until it arrives together), `heal`;
+`stall MS` (its disk), `freeze MS`; `leave`, `replaced` (leave where others can take its place), `rejoin`; and
+what is looked at: `head`, `in`, `out` (of the view), `has KEY`, `serves`, `away`, `idle MS` (it has served no
+follower for so long).  Answers are kept by cell, as in `answers["k1 g1"]`, and why a member does not leave by
+its column, as in `answers["A"]`.  A column `(D)` is a machine that is not there before its first `up`.
 """
 
 from __future__ import annotations
@@ -21,7 +24,9 @@
 
 from corekit import Core, Host
 
-from brackengate.signals.words import Claim, Unclaim
+from brackengate.signals.words import Amend, Claim, Read, Unclaim
+
+LINKS = ("cut", "mute", "deaf", "hold", "holdout", "holdin")
 
 
 class Broken(AssertionError):
@@ -35,9 +40,11 @@
     none.  With a folder the disks are real files there."""
     lines = [line for line in text.splitlines() if "|" in line]
     title, body = lines[0], lines[1:]
-    starts = [(m.start(), m[0]) for m in re.finditer(r"\S+", title) if m.start() > title.index("|")]
+    words = [(m.start(), m[0]) for m in re.finditer(r"\S+", title) if m.start() > title.index("|")]
+    starts = [(start, name.strip("()")) for start, name in words]
     addresses = {name: f"10.0.0.{n + 1}:80" for n, (_, name) in enumerate(starts)}
-    core = Core(addresses.values(), seed, min_replicas, seeds, folder)
+    absent = [addresses[name.strip("()")] for _, name in words if name.startswith("(")]
+    core = Core(addresses.values(), seed, min_replicas, seeds, folder, absent)
     answers: dict[str, str] = {}
     last = 0
     for line in body:
@@ -57,7 +64,10 @@
 
 def _do(core: Core, host: Host, cell: str, line: str, answers: dict[str, str]) -> None:
     word, *rest = cell.split()
-    others = [other for other in core.hosts.values() if other is not host]
+    hosts = list(core.hosts.values())
+    named = [hosts["ABCDEFGH".index(name)] for name in rest[0]] if word in LINKS and rest else hosts
+    others = [other for other in named if other is not host]
+    out_of, into = [(host.name, one.name) for one in others], [(one.name, host.name) for one in others]
     if word in ("claim", "free"):
         key, gate = rest
         name = f"{key} {gate}"
@@ -70,6 +80,8 @@
             )
 
         host.ask(what, done)
+    elif word in ("order", "read"):
+        _order(host, cell, answers)
     elif word in ("leave", "replaced", "rejoin"):
         assert host.replica is not None
         if word == "rejoin":
@@ -83,9 +95,13 @@
     elif word == "up":
         host.start()
     elif word == "cut":
-        core.cut((a.name, b.name) for other in others for a, b in ((host, other), (other, host)))
+        core.cut([*out_of, *into])
     elif word == "mute":
-        core.cut((host.name, other.name) for other in others)
+        core.cut(out_of)
+    elif word == "deaf":
+        core.cut(into)
+    elif word in ("hold", "holdout", "holdin"):
+        core.hold({"hold": [*out_of, *into], "holdout": out_of, "holdin": into}[word])
     elif word == "heal":
         core.heal()
     elif word == "stall":
@@ -96,6 +112,23 @@
         _look(core, host, word, rest, line)
 
 
+def _order(host: Host, cell: str, answers: dict[str, str]) -> None:
+    """`read` is answered with the version; the others with `ok`, or why they are turned down."""
+    answers.setdefault(cell, "silent")
+    version = cell.partition(" ")[2]
+    body = f'{{"Apply":{{"Plants":[{{"Name":"p","Revision":"r{version}"}}]}}}}'
+
+    def done(result: Any) -> None:
+        if result is None:
+            answers[cell] = "none"
+        elif version:
+            answers[cell] = result.get("invalid", "ok")
+        else:
+            answers[cell] = ",".join(plant["Revision"] for plant in result["Plants"])
+
+    host.ask(Amend(body) if version else Read(), done)
+
+
 def _look(core: Core, host: Host, word: str, rest: list[str], line: str) -> None:
     member = host.replica
     if member is None:
@@ -107,6 +140,7 @@
         "has": lambda: ("key", rest[0]) in member.chain.rows,
         "serves": lambda: member.serves(core.now),
         "away": lambda: not member.serves(core.now),
+        "idle": lambda: core.now - core.served.get(host.name, 0) >= int(rest[0]) * 1000,
     }[word]()
     if not found:
         raise Broken(f"{word} {' '.join(rest)} does not hold at {host.name}, {member.agreement.view}: {line}")
