Leave the end of a learner's copy to the chain, which feeds it before it counts

Cause: to hold a view change open until a learner reaches the closed log's end stops writes for as long as the learner takes; the chain marks a new member as complete only when it was fed what the one before it held, so the wait bought nothing. Change: the coordinator no longer waits for the learner; a short view commits nothing, as before. Words of earlier metaphors leave comments and messages of the files touched; a log message says that a replica whose writes fail is no member.

--- a/brackengate/lighthouse/ballots.py
+++ b/brackengate/lighthouse/ballots.py
@@ -47,50 +47,33 @@
     view: View  # what it proposes, unless another view may have been agreed
     at: int
     quorum: int  # as of its beginning; see `quorum`
-    learner: Member | None = None  # that the view admits
     promises: dict[str, Promise] = field(default_factory=dict)
     accepted: set[str] = field(default_factory=set)
     second: bool = False  # the view is fixed, and asked to be accepted
 
-    def taken(self) -> View | None:
-        """The view accepted under the highest ballot, which may have been agreed."""
+    def proposal(self) -> View | None:
+        """The view to be accepted by all; None: wait for more promises."""
         votes = [one for one in self.promises.values() if one.taken is not None]
-        return max(votes, key=lambda one: one.taken_at or NOBODY).taken if votes else None
+        if votes:  # it may have been agreed: the one that was accepted last
+            return max(votes, key=lambda one: one.taken_at or NOBODY).taken
+        return self._with_complete_head()
 
-    def proposal(self, copied: int, patient: bool) -> View | None:
-        """The view to be accepted by all; None: wait for more promises, or for the learner.
-
-        `copied`: how far the learner's copy reaches; `patient`: whether to wait for it.
-        """
-        members = [member for member in self.view.members if member != self.learner]
-        ordered = self._head_first(members)
-        if ordered is None:
-            return None
-        if self.learner is None or copied >= self._committed_at_most():
-            joined = [self.learner] if self.learner is not None else []
-            return View(self.view.epoch, (*ordered, *joined))
-        return None if patient else View(self.view.epoch, tuple(ordered))
-
-    def _head_first(self, members: list[Member]) -> list[Member] | None:
+    def _with_complete_head(self) -> View | None:
         """The new head is one that promised and holds everything.
 
         A member without its snapshot that would be the head goes to the end, as one that starts anew;
         the others keep their order.  None: the one that would be the head hasn't answered yet.
         """
+        members = self.view.members
         for n, member in enumerate(members):
             promise = self.promises.get(member.addr)
             if promise is None:
                 return None
             if promise.has_snapshot:
                 behind = [Member(one.addr, one.incarnation, self.view.epoch) for one in members[:n]]
-                return members[n:] + behind
+                return View(self.view.epoch, (*members[n:], *behind))
         return None
 
-    def _committed_at_most(self) -> int:
-        """No entry after this index was or will be committed in the epoch that is closed: a commit needs
-        all its members, and these have promised to store nothing more."""
-        return min((one.index for one in self.promises.values() if one.has_snapshot), default=2**62)
-
 
 def quorum(view: View, any_wiped: bool) -> int:
     """How many votes agree on the next view.
--- a/brackengate/lighthouse/chain.py
+++ b/brackengate/lighthouse/chain.py
@@ -119,7 +119,7 @@
     def log(self) -> LogStatus:
         copied = -1 if self._chain_position() >= 0 else COPIES_AS_MEMBER
         return LogStatus(
-            self.stored_index, self.has_snapshot, self.caught_up_epoch, self.commit_index, copied, self.index
+            self.stored_index, self.has_snapshot, self.caught_up_epoch, self.commit_index, copied
         )
 
     @property
@@ -446,6 +446,8 @@
 
     def _commit(self, index: int) -> list[Action]:
         out: list[Action] = []
+        if len(self.view.members) < self.min_replicas:
+            return out
         before = self._before()
         if before:
             out.append(Tell(before, Ack(self.view.epoch, index)))
--- a/brackengate/lighthouse/contact.py
+++ b/brackengate/lighthouse/contact.py
@@ -33,7 +33,6 @@
     caught_up_epoch: int = 0  # the epoch in which it has met the one before it
     commit_index: int = -1  # the last index that is known to be committed
     copied: int = -1  # a learner's complete copy reaches to this index; -1: it is not complete
-    last_index: int = 0  # the last entry taken, which may not be on disk yet
 
 
 class Contact:
@@ -135,7 +134,7 @@
 
     def _on_ping(self, addr: str, peer: Peer, ping: Ping, now: int, log: LogStatus) -> list[Action]:
         peer.said, peer.said_at = ping, now
-        pong = Pong(self.view.epoch, ping.sent, self.epoch_closed, self.incarnation, log.copied)
+        pong = Pong(self.view.epoch, ping.sent, self.epoch_closed, self.incarnation)
         out: list[Action] = [Tell(addr, pong)]
         if ping.epoch > self.view.epoch:
             out.append(Tell(addr, WantView()))
@@ -150,7 +149,7 @@
         self._renew_lease(now)
         return self._ping(now, log) if fresh else []
 
-    def _ping(self, now: int, log: LogStatus, only: list[str] | None = None) -> list[Action]:
+    def _ping(self, now: int, log: LogStatus) -> list[Action]:
         hears = tuple(addr for addr in self.peers if self.hears(addr, now))
         joining = not self.is_member and self.disk_healthy and not self.leaves
         ping = Ping(
@@ -168,11 +167,10 @@
         )
         others = dict.fromkeys([member.addr for member in self._other_members()])
         others.update(dict.fromkeys(addr for addr in self.peers if self._worth_a_ping(addr, now)))
-        asked = [addr for addr in others if only is None or addr in only]
-        for addr in asked:
+        for addr in others:
             self.meet(addr, now)
             self.peers[addr].on_ping_sent(now)
-        return [Tell(addr, ping) for addr in asked]
+        return [Tell(addr, ping) for addr in others]
 
     def _worth_a_ping(self, addr: str, now: int) -> bool:
         """Old members and strangers are pinged while they speak, and by those who are no members."""
--- a/brackengate/lighthouse/failure_detector.py
+++ b/brackengate/lighthouse/failure_detector.py
@@ -33,7 +33,6 @@
     open_since: int = NEVER  # the send time of the ping that this answered
     incarnation: str = ""  # of the process that answered last
     incarnation_at: int = NEVER  # the send time of the ping that it answered
-    copied: int = -1  # how far its complete copy reaches, by its last pong
 
     def hears(self, now: int) -> bool:
         """Failure detection: whether it counts as alive."""
@@ -54,7 +53,6 @@
         self.pings = tuple(sent for sent in self.pings if sent > pong.sent)
         self.answered, self.refused, self.ever = now, False, True
         self.incarnation, self.incarnation_at = pong.incarnation, pong.sent
-        self.copied = pong.copied
         if not pong.closed:
             self.open_epoch, self.open_since = pong.epoch, pong.sent
         return True
--- a/brackengate/lighthouse/replica.py
+++ b/brackengate/lighthouse/replica.py
@@ -106,7 +106,7 @@
         self.agreement.disk_healthy = disk_healthy
 
     def leave(self, replaced: bool, now: int) -> str:
-        """Told to give up its seat; why it does not, empty where it does."""
+        """Told to leave; why it does not, empty where it does."""
         return self.agreement.leave(replaced, now)
 
     def rejoin(self) -> None:
--- a/brackengate/lighthouse/role.py
+++ b/brackengate/lighthouse/role.py
@@ -43,7 +43,7 @@
 
 TICK_S = 0.05
 BEAT = 150_000  # a follower hears something at least so often, give or take a tick
-SLOW = 400_000  # a disk that takes longer over a write is not fit for a seat
+SLOW = 400_000  # a disk that takes longer over a write is not healthy
 RETRY_S = 0.3  # a write that failed is tried again
 
 
@@ -197,7 +197,7 @@
             return
         if error is not None:
             if not self._failed:
-                log.error("store: step write: %s; the member is given up until it succeeds", error)
+                log.error("store: step write: %s; no member until it succeeds", error)
             self._failed = True
             self._queue = batch + self._queue
             self._loop.call_later(RETRY_S, self._write)
--- a/brackengate/lighthouse/view.py
+++ b/brackengate/lighthouse/view.py
@@ -39,9 +39,7 @@
 
 RANK = 400_000  # each member in front gets this long to coordinate
 CHANGE_TIMEOUT = 500_000  # a ballot without an outcome is begun anew
-ADMISSION_LAG = 500  # entries that a learner may lack when its admission begins
-ADMISSION_WAIT = 250_000  # for a learner to reach the end of the closed log
-ADMISSION_PAUSE = 2_000_000  # after one that did not
+ADMISSION_LAG = 500  # entries that a learner may lack: it is fed them before it counts as complete
 
 
 class Agreement(Contact):
@@ -66,7 +64,6 @@
         self._trouble: int | None = None  # since when another view is wanted
         self._change: ViewChange | None = None
         self._high = promised[0]  # the highest number of a ballot that it has heard of
-        self._admit_after = NEVER
 
     # --- events
 
@@ -78,9 +75,6 @@
         if now - self._pinged >= PING:
             self._pinged = now
             out += self._ping(now, log)
-        elif self._change is not None and self._change.learner is not None:
-            out += self._ping(now, log, [self._change.learner.addr])
-        out += self._propose(now)
         return out + self._reconfigure(now, log)
 
     def refused(self, addr: str, now: int, log: LogStatus) -> list[Action]:
@@ -111,7 +105,7 @@
             case Ping():
                 return self._on_ping(addr, peer, word, now, log) + self._reconfigure(now, log)
             case Pong():
-                return self._on_pong(peer, word, now, log) + self._propose(now)
+                return self._on_pong(peer, word, now, log)
             case WantView():
                 return [Tell(addr, NewView(self.view))] if self.view.epoch else []
             case NewView(view):
@@ -164,7 +158,7 @@
 
     def _admissible_learner(self, alive: list[Member], now: int, log: LogStatus) -> Member | None:
         """One that holds the committed state up to a few entries, and that all live members hear."""
-        if log.commit_index < 0 or now < self._admit_after:
+        if log.commit_index < 0:
             return None
         needed = max(0, log.commit_index - ADMISSION_LAG)
         others = [self._fresh(member.addr, now) for member in alive if member.addr != self.me]
@@ -220,19 +214,15 @@
         if now - self._trouble < rank * RANK:
             return []
         self._trouble = now
-        return self._begin_change(members, facts.learner, now, log)
+        return self._begin_change(View(self.view.epoch + 1, members), now, log)
 
     def _quorum(self) -> int:
         return quorum(self.view, any(self._wiped(member) for member in self._other_members()))
 
-    def _begin_change(
-        self, members: tuple[Member, ...], learner: Member | None, now: int, log: LogStatus
-    ) -> list[Action]:
+    def _begin_change(self, view: View, now: int, log: LogStatus) -> list[Action]:
         """Its own promise is on its disk before the others hear of the ballot."""
         self._high += 1
-        view = View(self.view.epoch + 1, members)
-        admitted = learner if learner in members else None
-        self._change = ViewChange((self._high, self.me), view, now, self._quorum(), admitted)
+        self._change = ViewChange((self._high, self.me), view, now, self._quorum())
         prepare = Prepare(view.epoch, self._change.ballot)
         out = self._on_prepare(self.me, prepare, now, log)
         for action in out:
@@ -263,23 +253,14 @@
         change = self._change
         if change is None or change.second or self._count(change.promises) < change.quorum:
             return []
-        patient = now - change.at < ADMISSION_WAIT
-        view = change.taken() or change.proposal(self._copied_by(change.learner), patient)
+        view = change.proposal()
         if view is None:
             return []
-        if change.learner is not None and change.learner not in view.members:
-            self._admit_after = now + ADMISSION_PAUSE
         change.view, change.second = view, True
         accept = Accept(view.epoch, change.ballot, view)
         out: list[Action] = [Tell(one.addr, accept) for one in self._other_members()]
         return out + self._on_accept(self.me, accept, now)
 
-    def _copied_by(self, learner: Member | None) -> int:
-        """How far the learner's copy reaches, by its own disk's word."""
-        if learner is None or not self._same(learner):
-            return -1
-        return self.peers[learner.addr].copied
-
     def _on_accepted(self, addr: str, word: Accepted, now: int) -> list[Action]:
         change = self._voted_on(addr, word.epoch, word.ballot)
         if change is None or not change.second:
@@ -302,7 +283,7 @@
         self._high = max(self._high, word.ballot[0])
         acceptor = self._acceptor
         promise = Promise(
-            word.epoch, word.ballot, log.last_index, log.has_snapshot, acceptor.taken_at, acceptor.taken
+            word.epoch, word.ballot, log.index, log.has_snapshot, acceptor.taken_at, acceptor.taken
         )
         return [Store(meta=acceptor.meta(), tells=[Tell(addr, promise)])]
 
--- a/brackengate/signals/words.py
+++ b/brackengate/signals/words.py
@@ -20,7 +20,7 @@
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
-    """A member of a view.  `inc`: the life of its disk; `since`: the epoch in which it took its seat."""
+    """A member of a view.  `incarnation`: of its disk; `since`: the epoch in which it became one."""
 
     addr: str
     incarnation: str
@@ -130,8 +130,7 @@
     epoch: int
     sent: int = 0  # of the ping that this answers: a lease runs from its sending
     closed: bool = False  # the sender has promised to store nothing more in this epoch
-    incarnation: str = ""
-    copied: int = -1  # as in `Ping`
+    incarnation: str = ""  # of the process that answers
 
 
 class WantView(Word, frozen=True, tag="view?"):
@@ -154,7 +153,7 @@
 
     epoch: int
     ballot: Ballot
-    index: int  # of the last entry that it took: nothing after it is committed in the epoch
+    index: int  # stored
     has_snapshot: bool  # it holds all that its membership owes
     taken_at: Ballot | None = None
     taken: View | None = None
@@ -281,9 +280,9 @@
 
 
 class Leave(msgspec.Struct, tag_field="t", tag="leave", frozen=True):
-    """Give up your seat, and take none until told or started again.
+    """Leave the view, and be no member until told or started again.
 
-    `replaced`: only where another lighthouse waits for a seat, or enough stay to lose `Tolerance.Machines`
+    `replaced`: only where another replica waits to be admitted, or enough stay to lose `Tolerance.Machines`
     more.
     """
 
@@ -291,7 +290,7 @@
 
 
 class Rejoin(msgspec.Struct, tag_field="t", tag="rejoin", frozen=True):
-    """Take a seat again."""
+    """Be a member again."""
 
 
 class Explain(msgspec.Struct, tag_field="t", tag="explain", frozen=True):
--- a/brackengate/soundings/vessel.py
+++ b/brackengate/soundings/vessel.py
@@ -157,7 +157,7 @@
 def _still(replica: Replica) -> None:
     agreement, chain = replica.agreement, replica.chain
     agreement._pinged = agreement._ticked = agreement._adopted = 0
-    agreement._open_until = agreement._lease_from = agreement._admit_after = NEVER
+    agreement._open_until = agreement._lease_from = NEVER
     agreement._trouble = None
     agreement._apart.clear()
     for addr, peer in agreement.peers.items():
@@ -166,7 +166,7 @@
         else:
             peer.answered = peer.said_at = NEVER
         peer.refused, peer.ever = False, True
-        peer.pings, peer.open_epoch, peer.open_since, peer.copied = (), 0, NEVER, -1
+        peer.pings, peer.open_epoch, peer.open_since = (), 0, NEVER
         peer.incarnation_at = 0 if peer.incarnation else NEVER
     if agreement._change is not None:
         agreement._change.at = 0
