Follow a cut-off replica's followers in the lab; let a successor in first

Cause: what followers get was seen nowhere with the roles as they are; a member told to be replaced was refused where the successor had not been admitted yet, though it keeps its membership until then. Change: a test with the roles, cuts both ways and one way for 20 s, and a proxy that starts anew with the cut-off machine as its only seed; replace counts a waiting learner.

--- a/brackengate/lighthouse/view.py
+++ b/brackengate/lighthouse/view.py
@@ -124,7 +124,8 @@
             return f"{self.me} is no member of view {self.view.epoch}"
         alive = self._live_members(now)
         left = [member for member in alive if member.addr != self.me and not self._leaving(member)]
-        if len(left) < self._min_replicas:
+        successor = replaced and any(self._learners(now))
+        if len(left) + successor < self._min_replicas:
             return (
                 f"{len(left)} of the {len(self.view.members)} members of view {self.view.epoch} would"
                 f" be left; a write needs {self._min_replicas} (Tolerance.Machines + 1)"
@@ -132,7 +133,7 @@
         if len(alive) < self.view.majority:
             return f"too few members of view {self.view.epoch} answer for a new view to be agreed"
         stand = outlasting(self._min_replicas)
-        if replaced and not any(self._learners(now)) and len(left) < stand:
+        if replaced and not successor and len(left) < stand:
             return (
                 f"{len(left)} members would be left and no other replica waits to be admitted;"
                 f" it takes {stand} to lose {self._min_replicas - 1} more"
--- /dev/null
+++ b/tests/emulator/test_mesh_leases.py
@@ -0,0 +1,73 @@
+"""The roles as they are, with a core machine cut off for twenty seconds: what its followers still get."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from test_mesh_lab import MESH
+
+from brackengate.emulator.mesh import checks, faults
+from brackengate.emulator.mesh.scenario import changed
+from brackengate.emulator.mesh.world import CALM, World
+from brackengate.lighthouse.actions import Publish
+from brackengate.lighthouse.failure_detector import LEASE
+from brackengate.lighthouse.role import Follower, Lighthouse
+from brackengate.signals.words import Away, Changes, Core, Line
+
+S = 1_000_000
+SLACK = 100_000  # a tick, and what is on its way
+
+
+def played(*more: str, one_way: bool, back: bool, monkeypatch: pytest.MonkeyPatch) -> tuple[World, list[Any]]:
+    """l0 is cut from the core from 2 s to 22 s; p0, which knows of l0 alone, starts anew at 8 s."""
+    text = (MESH / "cut-core.toml").read_text().partition("[[fault]]")[0]
+    ways = "one_way = true\n" if one_way else ""
+    on, to = ('["l1", "l2"]', '["l0"]') if back else ('["l0"]', '["core"]')
+    text += f'[[fault]]\nat = "2s"\nkind = "cut"\non = {on}\nto = {to}\nlasts = "20s"\n{ways}'
+    text += '[[fault]]\nat = "8s"\nkind = "kill"\non = ["p0"]\nlasts = "500ms"\n'
+    text += "".join(more)
+    world = World(changed(text, "cut.toml", ["length=30s"]), 1)
+    told: list[tuple[int, str, str, Line]] = []
+    say, publish = Lighthouse._say, Lighthouse._publish
+
+    def said(self: Lighthouse, follower: Follower, word: Line) -> None:
+        told.append((world.loop.now - CALM, self.me.partition(":")[0], follower.lines.peer, word))
+        say(self, follower, word)
+
+    def published(self: Lighthouse, news: Publish) -> None:
+        for follower in self._followers.values():
+            if follower.follows and follower.index < news.index:
+                word = Changes(news.index, news.rows)
+                told.append((world.loop.now - CALM, self.me.partition(":")[0], follower.lines.peer, word))
+        publish(self, news)
+
+    monkeypatch.setattr(Lighthouse, "_say", said)
+    monkeypatch.setattr(Lighthouse, "_publish", published)
+    world.seeds = ["l0", "l1", "l2"]
+    world.loop.at(CALM + 7 * S, lambda: setattr(world, "seeds", ["l0"]))
+    records = world.run(faults.schedule(world), faults.over(world.told))
+    names = {machine.ip: machine.name for machine in (*world.core, *world.pilots)}
+    seen = checks.Seen(records, world.told.limits, names, CALM + int(world.told.length))
+    assert [word for one in checks.verdict(seen) for word in one.words] == []
+    return world, told
+
+
+@pytest.mark.parametrize(("one_way", "back"), [(False, False), (True, False), (True, True)])
+def test_followers_get_nothing_from_a_replica_that_is_cut_off(
+    one_way: bool, back: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    world, told = played(one_way=one_way, back=back, monkeypatch=monkeypatch)
+    cut_off, anew = world.machine("l0").ip, world.machine("p0").ip
+    late = [
+        (when, word)
+        for when, member, _, word in told
+        if member == cut_off and 2 * S + LEASE + SLACK < when < 22 * S
+    ]
+    assert late != []  # it is asked, and sends them away
+    assert [word for _, word in late if not isinstance(word, Away | Core)] == []
+    assert not any(word.touch for _, word in late if isinstance(word, Core))
+    found = [
+        when for when, member, peer, _ in told if peer.startswith(anew) and member != cut_off and when > 8 * S
+    ]
+    assert found and min(found) < 11 * S  # by the members that l0 knew
