--- a/tests/lighthouse/test_cut_off.py
+++ b/tests/lighthouse/test_cut_off.py
@@ -9,7 +9,7 @@
 from corekit import Core
 from timeline import play
 
-from brackengate.signals.words import Amend, Claim, Read
+from brackengate.signals.words import Amend, Claim, CommandDone, HeldBy, Read
 
 KINDS = ("cut", "mute", "deaf", "hold", "holdout", "holdin")
 
@@ -149,19 +149,20 @@
         body = f'{{"Apply":{{"Plants":[{{"Name":"p","Revision":"r{number}"}}]}}}}'
 
         def ordered(result: Any) -> None:
-            assert result is None or "invalid" not in result
+            assert result is None or isinstance(result, CommandDone)
             if result is not None:
                 confirmed[0] = max(confirmed[0], number)
 
         def claimed(result: Any) -> None:
             if result is not None:
-                assert granted.setdefault(key, result.get("gate", gate)) == result.get("gate", gate)
+                holder = result.owner if isinstance(result, HeldBy) else gate
+                assert granted.setdefault(key, holder) == holder
 
         least = confirmed[0]
 
         def read(result: Any) -> None:
             if result is not None and least:
-                assert int(result["Plants"][0]["Revision"][1:]) >= least
+                assert int(result.content["Plants"][0]["Revision"][1:]) >= least
 
         rng.choice(hosts).ask(Amend(body), ordered)
         rng.choice(hosts).ask(Claim(key, gate, "1"), claimed)
--- a/tests/lighthouse/test_second_loss.py
+++ b/tests/lighthouse/test_second_loss.py
@@ -9,7 +9,7 @@
 from corekit import Core, Host
 from timeline import play
 
-from brackengate.signals.words import Claim
+from brackengate.signals.words import Claim, HeldBy
 
 S = 1_000_000
 
@@ -31,7 +31,7 @@
 
         def done(result: Any) -> None:
             if result is not None:
-                self.granted[key] = result.get("gate", key)
+                self.granted[key] = result.owner if isinstance(result, HeldBy) else key
                 assert self.granted[key] == key
 
         up = [host for host in self.hosts if host.replica is not None]
--- a/tests/lighthouse/timeline.py
+++ b/tests/lighthouse/timeline.py
@@ -24,7 +24,7 @@
 
 from corekit import Core, Host
 
-from brackengate.signals.words import Amend, Claim, Read, Unclaim
+from brackengate.signals.words import Amend, Claim, CommandDone, Configuration, HeldBy, Read, Unclaim
 
 LINKS = ("cut", "mute", "deaf", "hold", "holdout", "holdin")
 
@@ -76,7 +76,11 @@
 
         def done(result: Any) -> None:
             answers[name] = (
-                "none" if result is None else f"held by {result['gate']}" if "gate" in result else "ok"
+                "none"
+                if result is None
+                else f"held by {result.owner}"
+                if isinstance(result, HeldBy)
+                else "ok"
             )
 
         host.ask(what, done)
@@ -119,12 +123,15 @@
     body = f'{{"Apply":{{"Plants":[{{"Name":"p","Revision":"r{version}"}}]}}}}'
 
     def done(result: Any) -> None:
-        if result is None:
-            answers[cell] = "none"
-        elif version:
-            answers[cell] = result.get("invalid", "ok")
-        else:
-            answers[cell] = ",".join(plant["Revision"] for plant in result["Plants"])
+        match result:
+            case None:
+                answers[cell] = "none"
+            case CommandDone():
+                answers[cell] = "ok"
+            case Configuration(layout):
+                answers[cell] = ",".join(plant["Revision"] for plant in layout["Plants"])
+            case _:
+                answers[cell] = str(result)
 
     host.ask(Amend(body) if version else Read(), done)
 
