--- a/brackengate/soundings/chart.py
+++ b/brackengate/soundings/chart.py
@@ -23,6 +23,7 @@
     NewView,
     Outvoted,
     Ping,
+    Pong,
     Position,
     Prepare,
     Promise,
@@ -33,7 +34,8 @@
     WantView,
 )
 from brackengate.soundings.model import Event, Model, State, carry
-from brackengate.soundings.vessel import FREED, READ, Effect, decode
+from brackengate.soundings.vessel import Effect, decode
+from brackengate.soundings.workload import FREED, READ
 
 WIDTH = 30
 
@@ -82,6 +84,8 @@
     match what:
         case "ask":
             return f"is asked: {_asked(other)}"
+        case "resend":
+            return f"is asked again: {_asked(other)}"
         case "hear":
             return f"<- {other}: {_word(decode(model.first_line(state, other, name)))}"
     return {
@@ -89,6 +93,7 @@
         "doubt": f"no longer hears {other}",
         "mend": "looks at who is there",
         "again": "asks again",
+        "learn": "asks for what it lacks",
         "have": "says again what it has",
         "power": "LOSES POWER",
         "kill": "IS KILLED, what it wrote is kept",
@@ -96,6 +101,12 @@
         "start": f"starts, disk {other}",
         "sync": "its disk has a store",
         "lose": f"connection to {other} lost, and new",
+        "probe": f"-> {other}: ping",
+        "time": "(half a lease of time passes)",
+        "freeze": "IS FROZEN",
+        "thaw": "wakes",
+        "gains": "its clock gains half a lease",
+        "loses": "its clock loses half a lease",
         "wait": f"(what {other} said is late)",
     }[what]
 
@@ -167,4 +178,6 @@
             return f"done: {_result(msgspec.json.encode(result))}"
         case Ping():
             return "ping"
+        case Pong():
+            return f"answers the ping: view {word.epoch}{', closed' if word.closed else ''}"
     return type(word).__name__
--- a/brackengate/soundings/mistakes.py
+++ b/brackengate/soundings/mistakes.py
@@ -2,13 +2,32 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+
+import msgspec
 
 from brackengate.lighthouse.actions import Action, Answer
 from brackengate.lighthouse.chain import Chain
+from brackengate.lighthouse.commands import PendingReply
+from brackengate.lighthouse.failure_detector import Peer
 from brackengate.lighthouse.replica import Replica
+from brackengate.lighthouse.transfer import COMPLETE
 from brackengate.lighthouse.view import Agreement, LogStatus
-from brackengate.signals.words import Command, Entry, Member, Promise, Read
+from brackengate.signals.items import read_call, route
+from brackengate.signals.words import (
+    Amend,
+    Command,
+    CommandDone,
+    ConflictingOrder,
+    CopyPiece,
+    Entry,
+    InvalidOrder,
+    Member,
+    Pong,
+    Promise,
+    Read,
+    Submit,
+)
 from brackengate.soundings.model import Bounds
 
 
@@ -52,6 +71,77 @@
         return super()._on_promise(addr, blank, now, log)
 
 
+class _LeaseFromReceipt(Agreement):
+    def _on_pong(self, peer: Peer, pong: Pong, now: int, log: LogStatus) -> list[Action]:
+        """The lease runs from when the answer was heard, however long it was under way."""
+        out = super()._on_pong(peer, pong, now, log)
+        if not pong.closed:
+            peer.open_since = now
+            self._renew_lease(now)
+        return out
+
+
+class _ClosedRenews(Agreement):
+    def _on_pong(self, peer: Peer, pong: Pong, now: int, log: LogStatus) -> list[Action]:
+        """A voter that has promised to leave the epoch still renews the lease in it."""
+        return super()._on_pong(peer, msgspec.structs.replace(pong, closed=False), now, log)
+
+
+class _LeaseByDetection(Agreement):
+    def holds_lease(self, now: int) -> bool:
+        """Who is not known to be dead vouches: after a freeze that is everybody."""
+        heard = sum(self.hears(member.addr, now) for member in self._other_members())
+        return self.is_member and heard + 1 >= self.view.majority
+
+
+class _AdmitsAtOnce(Agreement):
+    def _admissible_learner(self, alive: list[Member], now: int, log: LogStatus) -> Member | None:
+        """Whoever waits becomes a member, and copies then."""
+        for addr, said in self._learners(now):
+            return Member(addr, said.incarnation, self.view.epoch + 1)
+        return None
+
+
+class _CompleteBeforeSync(Chain):
+    def log(self) -> LogStatus:
+        """A learner tells its copy complete when the last piece has come, not when it is on its disk."""
+        status = super().log()
+        if self._chain_position() < 0 and self.learner.position.bucket == COMPLETE:
+            return replace(status, copied=self.state.index)
+        return status
+
+
+class _KeepsWhatIsFreed(Chain):
+    def _on_copy_piece(self, addr: str, piece: CopyPiece, now: int) -> list[Action]:
+        """What follows a copy is taken without its deletions, and is not checked whole."""
+        entries = tuple(
+            Entry(entry.index, tuple(row for row in entry.rows if row[2] is not None))
+            for entry in piece.entries
+        )
+        lacking = msgspec.structs.replace(piece, entries=entries, total=None)
+        return super()._on_copy_piece(addr, lacking, now)
+
+
+class _EqualVersionChain(Chain):
+    def _reply(self, reply: PendingReply) -> list[Action]:
+        """An order of equal version and other content gives no news, and is acknowledged."""
+        if isinstance(reply.result, ConflictingOrder):
+            reply.result = CommandDone()
+        return super()._reply(reply)
+
+
+class _ForgetfulChain(Chain):
+    def _execute(self, addr: str, word: Submit, now: int) -> list[Action]:
+        """An order is judged by what holds now, also where it was acknowledged before."""
+        out = super()._execute(addr, word, now)
+        if isinstance(word.what, Amend) and self._pending_replies:
+            known = {name for (kind, name), item in self.items.items() if kind == "plant" and item.body}
+            order = [item for (kind, _), item in read_call(word.what.body.encode()) if kind == "route"]
+            if any(part.plant not in known for item in order if item.body for part in route(item).parts):
+                self._pending_replies[-1].result = InvalidOrder("it names a service that is not known")
+        return out
+
+
 class _Hasty(Replica):
     chain_kind = _HastyChain
 
@@ -72,6 +162,51 @@
     agreement_kind = _NumberAgain
 
 
+class _Receipt(Replica):
+    agreement_kind = _LeaseFromReceipt
+
+
+class _Closed(Replica):
+    agreement_kind = _ClosedRenews
+
+
+class _Detection(Replica):
+    agreement_kind = _LeaseByDetection
+
+
+class _AtOnce(Replica):
+    agreement_kind = _AdmitsAtOnce
+
+
+class _Unsynced(Replica):
+    chain_kind = _CompleteBeforeSync
+
+
+class _Keeps(Replica):
+    chain_kind = _KeepsWhatIsFreed
+
+
+class _EqualVersion(Replica):
+    chain_kind = _EqualVersionChain
+
+
+class _Forgetful(Replica):
+    chain_kind = _ForgetfulChain
+
+
+LEASES = Bounds(
+    writes=0, views=2, bids=1, crashes=0, doubts=1, pings=1, clock=2, freezes=1, delays=1
+)  # a member is frozen while the others agree on a view without it
+
+
+LEARNER = Bounds(
+    writes=1, wipes=1, pings=3, views=3, bids=2, crashes=0, doubts=0, delays=0
+)  # a disk is lost; its machine comes back as a learner
+ORDERS = Bounds(
+    members=2, writes=3, workload="overtaken", views=1, bids=0, crashes=0, doubts=0, resends=1, delays=0
+)  # an order comes again after its service was removed
+
+
 @dataclass(frozen=True)
 class Mistake:
     words: str
@@ -105,4 +240,54 @@
         _Again,
         Bounds(writes=0, views=2, bids=2, crashes=0, doubts=2),
     ),
+    "lease-from-receipt": Mistake(
+        "a lease runs from when an answer was heard, not from the sending of what it answers",
+        _Receipt,
+        LEASES,
+    ),
+    "closed-voter-renews": Mistake(
+        "a voter that has promised to leave the epoch still renews a lease in it",
+        _Closed,
+        LEASES,
+    ),
+    "lease-by-detection": Mistake(
+        "whoever is not known to be dead vouches for what is served, also after a freeze",
+        _Detection,
+        LEASES,
+    ),
+    "admission-before-copy": Mistake(
+        "a learner becomes a member before it holds the committed state",
+        _AtOnce,
+        LEARNER,
+    ),
+    "copy-before-sync": Mistake(
+        "a learner tells its copy complete before its disk has it",
+        _Unsynced,
+        replace(LEARNER, apart=True),
+    ),
+    "kept-deletion": Mistake(
+        "what a learner lacks is sent without deletions",
+        _Keeps,
+        replace(LEARNER, frees=1, learns=1, views=2, bids=1),
+    ),
+    "equal-version": Mistake(
+        "a second order under the same version, with other content, is acknowledged",
+        _EqualVersion,
+        Bounds(members=2, writes=2, workload="same-version", views=1, bids=0, crashes=0, doubts=0),
+    ),
+    "resent-refused": Mistake(
+        "an order that was acknowledged is judged anew when it comes again",
+        _Forgetful,
+        Bounds(
+            members=2,
+            writes=3,
+            workload="overtaken",
+            views=1,
+            bids=0,
+            crashes=0,
+            doubts=0,
+            resends=1,
+            delays=0,
+        ),
+    ),
 }
--- a/brackengate/soundings/model.py
+++ b/brackengate/soundings/model.py
@@ -13,35 +13,57 @@
 
 import msgspec
 
+from brackengate.lighthouse.chain import Chain
+from brackengate.lighthouse.failure_detector import LEASE
 from brackengate.lighthouse.replica import FIRST, Replica
+from brackengate.lighthouse.transfer import COMPLETE
 from brackengate.signals.words import (
     Accept,
     Accepted,
-    Claim,
     CommandDone,
     CommandResult,
     Configuration,
     NewView,
+    Ping,
+    Pong,
     Promise,
+    UndecidedOrder,
     View,
 )
+from brackengate.soundings.disk import DiskState
 from brackengate.soundings.vessel import (
-    FREED,
-    READ,
     Act,
     Effect,
     Vessel,
     Waters,
-    ask,
     decode,
     encode,
     ping,
     plain,
+    serves,
     step,
 )
+from brackengate.soundings.workload import FREED, READ, WORKLOADS, Rows
 
+FIRST_UNIT = 10  # by all clocks, when time begins to pass
+UNIT = LEASE // 2  # in which time passes
+LEASE_UNITS = 2
 State = tuple[int, ...]
 Event = tuple[Any, ...]  # what; the machine; what else
+NEVER_TORN = (
+    "power",
+    "kill",
+    "wipe",
+    "lose",
+    "start",
+    "wait",
+    "time",
+    "gains",
+    "loses",
+    "probe",
+    "freeze",
+    "thaw",
+)
 FREE = 99  # as many as one likes
 
 
@@ -65,6 +87,12 @@
     repeats: int = 0  # an ask is sent again
     delays: int = FREE  # departures from the plain order; FREE: any order
     apart: bool = False  # stores are events of their own
+    resends: int = 0  # writes that were acknowledged and come again, at any member
+    clock: int = 0  # units of time (half a lease) that pass; pings are lines, where it is not 0
+    learns: int = 0  # a learner asks for more, or again, beyond its first request of each kind
+    freezes: int = 0  # a machine hears, says and does nothing until it thaws
+    drifts: int = 0  # times that a machine's clock gains or loses a unit against the others
+    workload: str = ""  # of `WORKLOADS`; empty: claims, or versions where there are reads
 
 
 @dataclass(frozen=True)
@@ -81,9 +109,16 @@
     tails: tuple[tuple[int, str, str], ...] = ()
     wiped: tuple[str, ...] = ()
     gone: frozenset[tuple[int, str]] = frozenset()  # writes that stood on a disk when it was lost
+    time: int = 0  # that has passed, in units
+    off: tuple[tuple[str, int], ...] = ()  # clocks that are off, by how many units
+    frozen: frozenset[str] = frozenset()
+    agreed_at: tuple[tuple[int, int], ...] = ()  # epochs, and when their views were first known as agreed
 
 
-KINDS = ("bids", "crashes", "wipes", "losses", "doubts", "pings", "repeats", "reads", "frees", "delays")
+KINDS = (
+    "bids", "crashes", "wipes", "losses", "doubts", "pings", "repeats", "reads", "frees", "delays",
+    "resends", "clock", "drifts", "freezes", "learns",
+)  # fmt: skip
 
 
 class Cut(Exception):
@@ -108,6 +143,20 @@
     unmet: bool  # has to meet the one before it in the chain
     asks: bool
     hears: frozenset[str]
+    copies_from: str = ""  # a learner: whom it would ask next
+    copied: bool = False  # its disk holds a complete copy, or all that a member owes
+    committed: tuple[int, int, int] | None = None  # where it holds all: index, number of rows, checksum
+
+
+def _is_copied(disk: DiskState) -> bool:
+    return disk.get("lineage", int, 0) > 0 or disk.get("copy", int, 0) == COMPLETE
+
+
+def _committed(chain: Chain) -> tuple[int, int, int] | None:
+    if not chain._firm or not (chain.has_snapshot or chain.learner.complete):
+        return None
+    rows = chain.state.rows
+    return chain.state.index, rows.count, rows.checksum
 
 
 class Model:
@@ -115,11 +164,13 @@
         self.bounds = bounds
         self.names = tuple("ABCDEFG"[: bounds.members])
         seeds = self.names[: bounds.members - bounds.spare]
-        self.waters = Waters(seeds, bounds.min_replicas, kind, bounds.reads > 0, bounds.apart)
+        workload = WORKLOADS[bounds.workload or ("versions" if bounds.reads else "claims")]
+        self.waters = Waters(seeds, bounds.min_replicas, kind, workload, bounds.apart, bounds.clock > 0)
         self.vessels: list[Vessel] = []
         self.facts: list[Facts] = []
         self._known: dict[Any, int] = {}
-        self._steps: dict[tuple[int, Act], tuple[int, tuple[Effect, ...]]] = {}
+        self._steps: dict[tuple[int, Act, int], tuple[int, tuple[Effect, ...]]] = {}
+        self._serves: dict[tuple[int, int], bool] = {}
         self._pings: dict[tuple[int, str], bytes | None] = {}
         self._links: list[tuple[bytes, ...]] = [()]
         self._link: dict[tuple[bytes, ...], int] = {(): 0}
@@ -173,7 +224,19 @@
         held = self._writes(disk.rows)
         if replica is None:
             epoch = disk.get("lineage", int, 0)
-            return Facts(False, disk.incarnation, epoch, 0, held, frozenset(), "", False, False, frozenset())
+            return Facts(
+                False,
+                disk.incarnation,
+                epoch,
+                0,
+                held,
+                frozenset(),
+                "",
+                False,
+                False,
+                frozenset(),
+                copied=_is_copied(disk),
+            )
         chain, agreement = replica.chain, replica.agreement
         agreed = {
             name: (index, encode(value))
@@ -186,21 +249,18 @@
             disk.get("lineage", int, 0),
             agreement.view.epoch,
             held,
-            self._writes(agreed),
+            self.waters.workload.in_force(agreed, self.bounds.writes),
             chain._before(),
             chain._chain_position() > 0 and chain.caught_up_epoch != chain.view.epoch,
             bool(chain._commands.by_id),
             frozenset(addr for addr in agreement.peers if agreement.hears(addr, 0)),
+            "" if chain.has_snapshot or chain._fed else (chain.learner.source or chain._before()),
+            _is_copied(disk),
+            _committed(chain),
         )
 
-    def _writes(self, rows: dict[tuple[str, str], tuple[int, bytes]]) -> frozenset[int]:
-        if self.waters.amends:
-            row = rows.get(("plant", "p"))
-            version = msgspec.json.decode(row[1])[0] if row is not None else 0
-            return frozenset(range(1, version + 1))
-        row = rows.get(("key", "k"))
-        held = msgspec.json.decode(row[1]) if row is not None else None
-        return frozenset(number for number in range(1, self.bounds.writes + 1) if held == [f"g{number}", "1"])
+    def _writes(self, rows: Rows) -> frozenset[int]:
+        return self.waters.workload.held(rows, self.bounds.writes)
 
     # --- the beginning
 
@@ -242,13 +302,13 @@
         past = self.past(state)
         left = dict(zip(KINDS, past.left, strict=True))
         names = self.names
-        up = [name for name in names if self.facts[state[self._at[name]]].up]
+        up = [n for n in names if self.facts[state[self._at[n]]].up and n not in past.frozen]
+        turns = self._live_turns(state)
         if self.bounds.delays == FREE:
             for one, two in self.pairs:
-                if state[self._pair_at[one, two]]:
+                if state[self._pair_at[one, two]] and two not in past.frozen:
                     yield ("hear", two, one)
-        elif state[-2]:
-            turns = self._turns[state[-2]]
+        elif turns:
             one, two = self.pairs[turns[0] - len(names)]
             yield ("hear", two, one)
             if left["delays"]:
@@ -263,8 +323,10 @@
                 yield ("sync", name)
             if past.asked < self.bounds.writes:
                 yield ("ask", name, past.asked + 1)
-            for number in past.acked if left["frees"] and not self.waters.amends else ():
+            for number in past.acked if left["frees"] and self.waters.workload.frees else ():
                 yield ("ask", name, FREED + number)
+            for number in past.acked if left["resends"] else ():
+                yield ("resend", name, number)
             if left["reads"]:
                 yield ("ask", name, READ + left["reads"])
             yield ("mend", name)
@@ -274,21 +336,32 @@
             if left["pings"]:
                 for other in up:
                     if other != name:
-                        yield ("ping", name, other)
+                        yield ("probe" if self.bounds.clock else "ping", name, other)
             if left["repeats"] and facts.asks:
                 yield ("again", name)
             if facts.unmet and not any(
                 state[self._pair_at[pair]] for pair in ((name, facts.before), (facts.before, name))
             ):  # else its pause is not over: an answer may be under way
                 yield ("have", name)
+            source = facts.copies_from
+            if (
+                left["learns"]
+                and source
+                and not any(state[self._pair_at[pair]] for pair in ((name, source), (source, name)))
+            ):
+                yield ("learn", name)
+            if left["freezes"]:
+                yield ("freeze", name)
             if left["crashes"]:
                 yield ("power", name)
                 if vessel.queue:
                     yield ("kill", name)
             if left["wipes"] and self._may_be_wiped(state, name, past):
                 yield ("wipe", name)
+        for name in past.frozen:
+            yield ("thaw", name)
         for name in names:
-            if name not in up:
+            if name not in up and name not in past.frozen:
                 yield (
                     "start",
                     name,
@@ -296,11 +369,21 @@
                 )
                 if left["wipes"] and self._may_be_wiped(state, name, past):
                     yield ("wipe", name)
+        if left["clock"]:
+            yield ("time", self.names[0])
+        if left["drifts"]:
+            yield from ((what, name) for name in up for what in ("gains", "loses"))
         if left["losses"]:
             for one, two in self.pairs:
                 if one < two and (state[self._pair_at[one, two]] or state[self._pair_at[two, one]]):
                     yield ("lose", one, two)
 
+    def _live_turns(self, state: State) -> tuple[int, ...]:
+        """The links with lines for machines that hear, in turn."""
+        frozen = self.past(state).frozen
+        turns = self._turns[state[-2]]
+        return tuple(at for at in turns if self.pairs[at - len(self.names)][1] not in frozen)
+
     def _may_be_wiped(self, state: State, name: str, past: Past) -> bool:
         """One disk at once is what may be lost: whoever lost one before has taken its seat again."""
         if self.facts[state[self._at[name]]].incarnation == "":
@@ -320,7 +403,7 @@
         crashes = self.past(state).left[KINDS.index("crashes")]
         for event in self.events(state):
             for torn in (False, True) if crashes and not self.bounds.apart else (False,):
-                if torn and event[0] in ("power", "kill", "wipe", "lose", "start", "wait"):
+                if torn and event[0] in NEVER_TORN:
                     continue  # there is no store in it, or none that this would tear
                 if torn and not self._tears(state, event):
                     continue
@@ -345,25 +428,40 @@
             act: Act = ("hear", rest[0], self.first_line(state, rest[0], name))
         elif what == "ping":
             return True
+        elif what == "resend":
+            act = ("ask", rest[0])
         else:
             act = ("mend", *rest) if what == "doubt" else (what, *rest)
-        return any(effect[0] != "view" for effect in self.local(number, ("torn", *act))[1])
+        effects = self.local(number, ("torn", *act), self.now(self.past(state), name))[1]
+        return any(effect[0] != "view" for effect in effects)
 
     # --- one event
 
     def _do(self, state: State, event: Event, torn: bool = False) -> State:
         return _Doing(self, state).do(event, torn)
 
-    def local(self, number: int, act: Act) -> tuple[int, tuple[Effect, ...]]:
-        found = self._steps.get((number, act))
+    def local(self, number: int, act: Act, now: int = 0) -> tuple[int, tuple[Effect, ...]]:
+        found = self._steps.get((number, act, now))
         if found is None:
-            vessel, effects = step(self.vessels[number], act, self.waters)
-            found = self._steps[number, act] = self._vessel(vessel), effects
+            vessel, effects = step(self.vessels[number], act, self.waters, now * UNIT)
+            found = self._steps[number, act, now] = self._vessel(vessel), effects
+        return found
+
+    def now(self, past: Past, name: str) -> int:
+        """By this machine's clock, in units."""
+        return FIRST_UNIT + past.time + dict(past.off).get(name, 0) if self.bounds.clock else 0
+
+    def serves(self, number: int, now: int) -> bool:
+        found = self._serves.get((number, now))
+        if found is None:
+            found = self._serves[number, now] = serves(self.vessels[number], now * UNIT)
         return found
 
     def ping(self, number: int, addr: str) -> bytes | None:
         if (number, addr) not in self._pings:
-            self._pings[number, addr] = ping(self.vessels[number], addr)
+            self._pings[number, addr] = ping(
+                self.vessels[number], addr, FIRST_UNIT * UNIT if self.bounds.clock else 0
+            )
         return self._pings[number, addr]
 
     def first_line(self, state: State, one: str, two: str) -> bytes:
@@ -392,6 +490,27 @@
             both = past.refused & one.applied
             if both:
                 return f"write {min(both)} was refused, and it is applied"
+        held_at: dict[int, tuple[str, tuple[int, int, int]]] = {}
+        for name, one in zip(self.names, facts, strict=True):
+            if one.committed is not None:
+                other, committed = held_at.setdefault(one.committed[0], (name, one.committed))
+                if committed != one.committed:
+                    return f"{other} and {name} hold different rows at index {one.committed[0]}"
+        return self._stale(state) if self.bounds.clock else ""
+
+    def _stale(self, state: State) -> str:
+        """Whoever serves followers serves what was in force for all at most a lease ago, give or take what
+        clocks drift within the bounds."""
+        past = self.past(state)
+        longest = LEASE_UNITS - 1 + self.bounds.drifts
+        for name, number in zip(self.names, state, strict=False):
+            epoch = self.facts[number].epoch
+            if name in past.frozen:
+                continue
+            newer = [when for other, when in past.agreed_at if other > epoch]
+            if newer and past.time - min(newer) > longest and self.serves(number, self.now(past, name)):
+                late = past.time - min(newer)
+                return f"{name} serves by view {epoch}, {late} half leases after a newer one was agreed"
         return ""
 
 
@@ -420,7 +539,7 @@
         heard = 0
         if torn:
             self._spend("crashes")
-        if self.state[-2] and what not in ("hear", "sync", "wait"):
+        if what not in ("hear", "sync", "wait") and model._live_turns(self.before):
             self._spend("delays")
         if what == "hear":
             pair = (rest[0], name)
@@ -432,7 +551,29 @@
             self._spend("pings")
             ping = model.ping(self._host(rest[0]), name)
             if ping is not None:
-                self._act(name, ("hear", rest[0], ping), torn)
+                self._act(name, ("ping", rest[0], ping), torn)
+        elif what == "probe":
+            self._spend("pings")
+            self._act(name, ("probe", rest[0]))
+        elif what == "time":
+            self._spend("clock")
+            self.past = replace(self.past, time=self.past.time + 1)
+        elif what == "freeze":
+            self._spend("freezes")
+            self.past = replace(self.past, frozen=self.past.frozen | {name})
+        elif what == "thaw":
+            self.past = replace(self.past, frozen=self.past.frozen - {name})
+        elif what in ("gains", "loses"):
+            self._spend("drifts")
+            off = dict(self.past.off)
+            off[name] = off.get(name, 0) + (1 if what == "gains" else -1)
+            self.past = replace(self.past, off=tuple(sorted(one for one in off.items() if one[1])))
+        elif what == "learn":
+            self._spend("learns")
+            self._act(name, ("learn",), torn)
+        elif what == "resend":
+            self._spend("resends")
+            self._act(name, ("ask", rest[0]), torn)
         elif what == "doubt":
             if model.facts[self._host(rest[0])].up:
                 self._spend("doubts")
@@ -513,12 +654,16 @@
         if not model.facts[host].up:
             return self._link(pair)
         epoch, kept = model.facts[host].epoch, []
+        now = model.now(self.past, pair[1])
         for line in model._links[self._link(pair)]:
             word = decode(line)
+            if isinstance(word, Ping | Pong):
+                kept.append(line)  # these count in any epoch
+                continue
             last = word.view.epoch if isinstance(word, NewView) else getattr(word, "epoch", FREE)
             # a view's ballots carry the number of the view to be
             stale = last < epoch + isinstance(word, NewView | Promise | Accept | Accepted)
-            if not stale or model.local(host, ("hear", pair[0], line)) != (host, ()):
+            if not stale or model.local(host, ("hear", pair[0], line), now) != (host, ()):
                 kept.append(line)
         return model._line_up(tuple(kept))
 
@@ -542,7 +687,8 @@
 
     def _act(self, name: str, act: Act, torn: bool = False) -> None:
         model = self.model
-        number, effects = model.local(self._host(name), ("torn", *act) if torn else act)
+        now = model.now(self.past, name)
+        number, effects = model.local(self._host(name), ("torn", *act) if torn else act, now)
         self.state[model._at[name]] = number
         for effect in effects:
             self.told.append((name, effect))
@@ -588,10 +734,10 @@
         elif number > FREED:
             pass
         elif isinstance(result, CommandDone):
-            what = ask(number, self.model.waters.amends)
-            others = past.acked - {number}
-            if isinstance(what, Claim) and others:
-                raise Broken(f"writes {min(others)} and {number} were both granted the key")
+            for other in past.acked - {number}:
+                conflict = self.model.waters.workload.conflict(number, other)
+                if conflict:
+                    raise Broken(conflict)
             facts = self.model.facts
             holds = {name for name in self.model.names if number in facts[self._host(name)].held}
             holds |= {name for gone, name in past.gone if gone == number}
@@ -599,6 +745,10 @@
                 of = f"{len(holds)} of {self.model.bounds.min_replicas} disks"
                 raise Broken(f"write {number} was acknowledged when {of} had stored it")
             self.past = replace(past, acked=past.acked | {number}, seen=max(past.seen, number))
+        elif result is None or isinstance(result, UndecidedOrder):
+            pass  # no clear answer
+        elif number in past.acked:
+            raise Broken(f"write {number} was acknowledged, and is refused when it comes again")
         else:
             self.past = replace(past, refused=past.refused | {number})
 
@@ -613,7 +763,20 @@
         views = {one.epoch: one for one in self.past.views}
         if views.setdefault(view.epoch, view) != view:
             raise Broken(f"there are two views with number {view.epoch}")
+        self._admits(view, views.get(view.epoch - 1))
         self.past = replace(self.past, views=tuple(views[epoch] for epoch in sorted(views)))
+        if self.model.bounds.clock and view.epoch not in dict(self.past.agreed_at):
+            agreed_at = (*self.past.agreed_at, (view.epoch, self.past.time))
+            self.past = replace(self.past, agreed_at=tuple(sorted(agreed_at)))
+
+    def _admits(self, view: View, before: View | None) -> None:
+        """Whoever is new in a view holds a complete copy on its disk."""
+        old = {(member.addr, member.incarnation) for member in before.members} if before is not None else None
+        for member in view.members if old is not None else ():
+            facts = self.model.facts[self._host(member.addr)]
+            known = (member.addr, member.incarnation) in (old or ())
+            if not known and facts.incarnation == member.incarnation and not facts.copied:
+                raise Broken(f"view {view.epoch} admits {member.addr}, whose disk has no complete copy")
 
     def _answers(self, name: str, epoch: int) -> None:
         incarnation = self.model.facts[self._host(name)].incarnation
--- a/brackengate/soundings/vessel.py
+++ b/brackengate/soundings/vessel.py
@@ -20,21 +20,16 @@
 from brackengate.lighthouse.view import APART, NEVER, Agreement
 from brackengate.signals.words import (
     Accepted,
-    Amend,
     Ballot,
-    Claim,
-    Command,
     Line,
     Ping,
     Pong,
     Promise,
-    Read,
-    Unclaim,
     View,
 )
 from brackengate.soundings.disk import DiskState
+from brackengate.soundings.workload import WORKLOADS, Workload
 
-FREED, READ = 50, 100  # writes are numbered from 1, takings back of a write and reads from here on
 WINDOW = 60_000_000
 Act = tuple[Any, ...]
 Effect = tuple[Any, ...]
@@ -49,8 +44,9 @@
     seeds: tuple[str, ...]
     min_replicas: int
     kind: type[Replica] = Replica
-    amends: bool = False  # whether writes are versions of one service, else claims of one key
+    workload: Workload = WORKLOADS["claims"]
     apart: bool = False  # whether a store is an event of its own, else part of what asked for it
+    clock: bool = False  # whether time passes: leases run out, and pings are lines like others
 
 
 @dataclass
@@ -62,16 +58,6 @@
     queue: deque[Store] = field(default_factory=deque)
 
 
-def ask(number: int, amends: bool) -> Command:
-    if number > READ:
-        return Read()
-    if number > FREED:
-        return Unclaim("k", f"g{number - FREED}", "1")
-    if amends:
-        return Amend(f'{{"Apply":{{"Plants":[{{"Name":"p","Revision":"r{number}"}}]}}}}')
-    return Claim("k", f"g{number}", "1")
-
-
 def copied(value: Any) -> Any:
     """Apart from the old one in all that is ever changed in place."""
     match value:
@@ -119,9 +105,12 @@
 _names: dict[type, tuple[str, ...]] = {}
 
 
-def step(old: Vessel, act: Act, waters: Waters) -> tuple[Vessel, tuple[Effect, ...]]:
-    """What comes of one event.  Effects: ("tell", whom, line), ("pong", whom), ("answer", number, result),
-    ("bid", epoch), ("vote", epoch), ("view", view) and ("tail", epoch): it answered as the tail."""
+def step(old: Vessel, act: Act, waters: Waters, now: int = 0) -> tuple[Vessel, tuple[Effect, ...]]:
+    """What comes of one event at a time, by this machine's clock.
+
+    Effects: ("tell", whom, line), ("pong", whom, line), ("answer", number, result), ("bid", epoch),
+    ("vote", epoch), ("view", view) and ("tail", epoch): it answered as the tail.
+    """
     vessel: Vessel = copied(old)
     if act[0] in ("kill", "power", "wipe"):
         for store in vessel.queue if act[0] == "kill" else ():  # the thread that writes may still get it done
@@ -131,7 +120,7 @@
         vessel.replica = None
         vessel.queue.clear()
         return vessel, ()
-    turn = _Turn(vessel, waters)
+    turn = _Turn(vessel, waters, now)
     torn = act[0] == "torn"
     if torn:  # what needs no store is said, then power is lost
         act = act[1:]
@@ -141,43 +130,69 @@
         vessel.replica = None
         vessel.queue.clear()
     elif vessel.replica is not None:
-        _still(vessel.replica)
+        _still(vessel.replica, waters.clock)
     return vessel, tuple(turn.effects)
 
 
-def ping(vessel: Vessel, addr: str) -> bytes | None:
+def serves(vessel: Vessel, now: int) -> bool:
+    """Whether followers may take what it holds for current."""
+    if vessel.replica is None:
+        return False
+    replica: Replica = copied(vessel.replica)
+    _awake(replica, now)
+    return replica.serves(now)
+
+
+def ping(vessel: Vessel, addr: str, now: int) -> bytes | None:
     """The line that says to that member how this one stands."""
     replica: Replica = copied(vessel.replica)
-    for action in replica.agreement._ping(0, replica.chain.log()):
+    _awake(replica, now)
+    for action in replica.agreement._ping(now, replica.chain.log()):
         if isinstance(action, Tell) and action.addr == addr and isinstance(action.word, Ping):
             return encode(msgspec.structs.replace(action.word, index=0))  # nobody decides by the index
     return None
 
 
-def _still(replica: Replica) -> None:
+def _awake(replica: Replica, now: int) -> None:
+    """Who was heard still is: whom a replica no longer hears is an event of its own.  Leases have run on."""
+    agreement = replica.agreement
+    agreement._pinged = agreement._ticked = now
+    for peer in agreement.peers.values():
+        peer.answered = now if peer.answered > NEVER else NEVER
+        peer.said_at = now if peer.said_at > NEVER else NEVER
+    if agreement._change is not None:
+        agreement._change.at = now
+
+
+def _still(replica: Replica, clock: bool) -> None:
+    """What is kept of time is set to fresh or long ago; where time passes, what leases run from stays."""
     agreement, chain = replica.agreement, replica.chain
-    agreement._pinged = agreement._ticked = agreement._adopted = 0
-    agreement._open_until = agreement._lease_from = NEVER
+    agreement._pinged = agreement._ticked = 0
+    if not clock:
+        agreement._adopted = 0
+        agreement._open_until = agreement._lease_from = NEVER
     agreement._trouble = None
     agreement._apart.clear()
-    for addr, peer in agreement.peers.items():
-        if agreement.hears(addr, 0):
+    for peer in agreement.peers.values():
+        if peer.answered > NEVER and not peer.refused:
             peer.answered, peer.said_at = 0, 0 if peer.said is not None else NEVER
         else:
             peer.answered = peer.said_at = NEVER
         peer.refused, peer.ever = False, True
-        peer.pings, peer.open_epoch, peer.open_since = (), 0, NEVER
-        peer.incarnation_at = 0 if peer.incarnation else NEVER
+        if not clock:
+            peer.pings, peer.open_epoch, peer.open_since = (), 0, NEVER
+            peer.incarnation_at = 0 if peer.incarnation else NEVER
     if agreement._change is not None:
         agreement._change.at = 0
-    chain._said_have = chain._pruned = 0
+    chain._said_have = chain._pruned = chain._now = chain.learner.asked_at = 0
     for pending in chain._commands.by_id.values():
         pending.at = pending.sent = 0
 
 
 class _Turn:
-    def __init__(self, vessel: Vessel, waters: Waters) -> None:
-        self.vessel, self.waters = vessel, waters
+    def __init__(self, vessel: Vessel, waters: Waters, now: int) -> None:
+        self.vessel, self.waters, self.now = vessel, waters, now
+        self._pongs_are_lines = self.probing = False
         self.effects: list[Effect] = []
         self._seen = _seen(vessel.replica)
 
@@ -187,23 +202,33 @@
             vessel.starts += 1
             vessel.disk.incarnation = vessel.disk.incarnation or act[1]
             first = act[1] == FIRST
-            waters, now = self.waters, vessel.starts * 1000  # asks are numbered from there
+            waters, begins = self.waters, vessel.starts * 1000  # commands are numbered from there
             replica = vessel.replica = waters.kind(
-                vessel.name, "", vessel.disk.kept(), waters.seeds, first, waters.min_replicas, WINDOW, now
+                vessel.name, "", vessel.disk.kept(), waters.seeds, first, waters.min_replicas, WINDOW, begins
             )
-            _still(replica)
-            return replica.start(0)
-        replica = self.alive()
+            replica.agreement._adopted = self.now
+            _still(replica, waters.clock)
+            return replica.start(self.now)
+        return self.act(self.alive(), act, self.now)
+
+    def act(self, replica: Replica, act: Act, now: int) -> list[Action]:
         agreement, chain = replica.agreement, replica.chain
+        _awake(replica, now)
         match act:
             case ("hear", addr, line):
-                return replica.heard(addr, decode(line), 0)
+                self._pongs_are_lines = self.waters.clock
+                return replica.heard(addr, decode(line), now)
+            case ("ping", addr, line):
+                return replica.heard(addr, decode(line), now)
+            case ("probe", addr):
+                self.probing = True
+                return [one for one in agreement._ping(now, chain.log()) if one.addr == addr]
             case ("pong", addr, line):
-                agreement.peers[addr].on_ping_sent(0)
-                return replica.heard(addr, decode(line), 0)
+                agreement.peers[addr].on_ping_sent(now)
+                return replica.heard(addr, decode(line), now)
             case ("met", addr):
-                replica.met(addr, 0)
-                return replica.reconnected(addr, 0)
+                replica.met(addr, now)
+                return replica.reconnected(addr, now)
             case ("sync",):
                 return self.sync()
             case ("mend", *doubted):  # all pauses are over
@@ -212,15 +237,17 @@
                 agreement._change = None
                 agreement._live_members(-2 * APART)
                 agreement._trouble = NEVER
-                return replica._settle(agreement._reconfigure(0, chain.log()), 0)
+                return replica._settle(agreement._reconfigure(now, chain.log()), now)
             case ("ask", number):
-                return replica.ask(ask(number, self.waters.amends), number, 0)
+                return replica.ask(self.waters.workload.command(number), number, now)
             case ("again",):
-                return [
-                    action for number in list(chain._commands.by_id) for action in chain._submit(number, 0)
-                ]
+                numbers = list(chain._commands.by_id)
+                return [action for number in numbers for action in chain._submit(number, now)]
+            case ("learn",):  # its pause is over
+                chain.learner.asked_at = NEVER
+                return chain._learn(now)
             case ("have",):
-                return chain._say_have(0)
+                return chain._say_have(now)
         raise ValueError(act)
 
     def alive(self) -> Replica:
@@ -244,9 +271,9 @@
                             self.effects.append(("vote", word.epoch))
                         if addr == me:
                             own.append(word)
-                        elif isinstance(word, Pong):
+                        elif isinstance(word, Pong) and not self._pongs_are_lines:
                             self.effects.append(("pong", addr, encode(word)))
-                        elif not isinstance(word, Ping):  # those are events of their own
+                        elif not isinstance(word, Ping) or self.probing:  # those are events of their own
                             self.effects.append(("tell", addr, encode(_bare(word))))
                     case Store():
                         vessel.queue.append(action)
@@ -256,7 +283,7 @@
             if torn:
                 return
             if own:
-                actions = self.alive().heard(me, own.popleft(), 0)
+                actions = self.alive().heard(me, own.popleft(), self.now)
             elif vessel.queue and not self.waters.apart:
                 actions = self.sync()
             else:
