--- a/brackengate/cli_lab.py
+++ b/brackengate/cli_lab.py
@@ -559,6 +559,11 @@
     "pings": "Pings that are heard, beyond those before the beginning.  [0]",
     "repeats": "Asks that are sent again.  [0]",
     "delays": "Links take turns, and are passed over so often; 99: any order.  [99]",
+    "resends": "Writes that were acknowledged and come again.  [0]",
+    "clock": "Halves of a lease that pass; pings are lines like others.  [0]",
+    "drifts": "Times that a clock gains or loses half a lease.  [0]",
+    "freezes": "Machines that stand still for a while.  [0]",
+    "learns": "Requests of learners beyond their first.  [0]",
 }
 
 
--- a/brackengate/soundings/mistakes.py
+++ b/brackengate/soundings/mistakes.py
@@ -11,7 +11,6 @@
 from brackengate.lighthouse.commands import PendingReply
 from brackengate.lighthouse.failure_detector import Peer
 from brackengate.lighthouse.replica import Replica
-from brackengate.lighthouse.transfer import COMPLETE
 from brackengate.lighthouse.view import Agreement, LogStatus
 from brackengate.signals.items import read_call, route
 from brackengate.signals.words import (
@@ -28,7 +27,7 @@
     Read,
     Submit,
 )
-from brackengate.soundings.model import Bounds
+from brackengate.soundings.model import FREE, Bounds
 
 
 class _HastyChain(Chain):
@@ -102,15 +101,6 @@
         return None
 
 
-class _CompleteBeforeSync(Chain):
-    def log(self) -> LogStatus:
-        """A learner tells its copy complete when the last piece has come, not when it is on its disk."""
-        status = super().log()
-        if self._chain_position() < 0 and self.learner.position.bucket == COMPLETE:
-            return replace(status, copied=self.state.index)
-        return status
-
-
 class _KeepsWhatIsFreed(Chain):
     def _on_copy_piece(self, addr: str, piece: CopyPiece, now: int) -> list[Action]:
         """What follows a copy is taken without its deletions, and is not checked whole."""
@@ -178,10 +168,6 @@
     agreement_kind = _AdmitsAtOnce
 
 
-class _Unsynced(Replica):
-    chain_kind = _CompleteBeforeSync
-
-
 class _Keeps(Replica):
     chain_kind = _KeepsWhatIsFreed
 
@@ -195,7 +181,7 @@
 
 
 LEASES = Bounds(
-    writes=0, views=2, bids=1, crashes=0, doubts=1, pings=1, clock=2, freezes=1, delays=1
+    writes=0, views=2, bids=1, crashes=0, doubts=1, pings=1, clock=2, freezes=1, delays=0
 )  # a member is frozen while the others agree on a view without it
 
 
@@ -248,7 +234,7 @@
     "closed-voter-renews": Mistake(
         "a voter that has promised to leave the epoch still renews a lease in it",
         _Closed,
-        LEASES,
+        replace(LEASES, freezes=0, delays=FREE),
     ),
     "lease-by-detection": Mistake(
         "whoever is not known to be dead vouches for what is served, also after a freeze",
@@ -258,17 +244,12 @@
     "admission-before-copy": Mistake(
         "a learner becomes a member before it holds the committed state",
         _AtOnce,
-        LEARNER,
-    ),
-    "copy-before-sync": Mistake(
-        "a learner tells its copy complete before its disk has it",
-        _Unsynced,
-        replace(LEARNER, apart=True),
+        replace(LEARNER, writes=0, pings=2, delays=1),
     ),
     "kept-deletion": Mistake(
         "what a learner lacks is sent without deletions",
         _Keeps,
-        replace(LEARNER, frees=1, learns=1, views=2, bids=1),
+        replace(LEARNER, frees=1, learns=1, views=2, bids=1, pings=1),
     ),
     "equal-version": Mistake(
         "a second order under the same version, with other content, is acknowledged",
--- a/brackengate/soundings/vessel.py
+++ b/brackengate/soundings/vessel.py
@@ -222,7 +222,7 @@
                 return replica.heard(addr, decode(line), now)
             case ("probe", addr):
                 self.probing = True
-                return [one for one in agreement._ping(now, chain.log()) if one.addr == addr]
+                return _only(agreement._ping(now, chain.log()), addr)
             case ("pong", addr, line):
                 agreement.peers[addr].on_ping_sent(now)
                 return replica.heard(addr, decode(line), now)
@@ -305,6 +305,10 @@
             self.effects.append(("tail", chain.view.epoch))
 
 
+def _only(actions: Iterable[Action], addr: str) -> list[Action]:
+    return [one for one in actions if isinstance(one, Tell) and one.addr == addr]
+
+
 def _seen(replica: Replica | None) -> tuple[tuple[int, Ballot] | None, View | None, int]:
     if replica is None:
         return None, None, -1
