--- a/tests/emulator/test_mesh_hard.py
+++ b/tests/emulator/test_mesh_hard.py
@@ -22,6 +22,7 @@
 from brackengate.lighthouse.view import Agreement
 from brackengate.pilot import entry
 from brackengate.pilot.gate import Gate
+from brackengate.signals.words import CommandDone, HeldBy
 
 replace = msgspec.structs.replace
 CASES = {
@@ -144,8 +145,8 @@
     claimed = entry.Entry._claimed
 
     def forgetful(self: entry.Entry, operation: Any, result: Any) -> None:
-        ours = result is not None and result.get("gate") == self._me
-        claimed(self, operation, {"ok": True} if ours else result)
+        ours = isinstance(result, HeldBy) and result.owner == self._me
+        claimed(self, operation, CommandDone() if ours else result)
 
     monkeypatch.setattr(entry.Entry, "_claimed", forgetful)
     assert "TWICE" in first("lost-claimant", 1, 10).rules
--- a/tests/emulator/test_mesh_lab.py
+++ b/tests/emulator/test_mesh_lab.py
@@ -23,6 +23,7 @@
 from brackengate.installation.reading import BadFile
 from brackengate.installation.units import Duration
 from brackengate.pilot.entry import Entry
+from brackengate.signals.words import CommandDone, HeldBy
 
 ROOT = Path(__file__).parent.parent.parent
 MESH = ROOT / "examples" / "lab" / "mesh"
@@ -175,8 +176,8 @@
     claimed = Entry._claimed
 
     def forgetful(self: Entry, operation: Any, result: Any) -> None:
-        ours = result is not None and result.get("gate") == self._me
-        claimed(self, operation, {"ok": True} if ours else result)
+        ours = isinstance(result, HeldBy) and result.owner == self._me
+        claimed(self, operation, CommandDone() if ours else result)
 
     monkeypatch.setattr(Entry, "_claimed", forgetful)
     told = small(
