--- a/brackengate/cli_lab.py
+++ b/brackengate/cli_lab.py
@@ -539,14 +539,15 @@
     """An option for each bound, without a value of its own: the scope's, or the mistake's, stands."""
     for name, words in reversed(BOUNDS.items()):
         kind = click.IntRange(1 if name == "members" else 0, 7 if name == "members" else 99)
-        command = click.option(f"--{name}", type=kind, help=words)(command)
+        command = click.option(f"--{name.replace('_', '-')}", type=kind, help=words)(command)
     return command
 
 
+WORKLOAD_NAMES = ("claims", "versions", "same-version", "overtaken")
 BOUNDS = {
     "members": "Machines of the core.  [3]",
     "spare": "Of these, machines beside the first view.  [0]",
-    "enough": "Disks that hold a write before it is acknowledged.  [2]",
+    "min_replicas": "Disks that hold a write before it is acknowledged.  [2]",
     "writes": "Writes of one key, by others each; with reads: versions of one service.  [1]",
     "frees": "Writes that are taken back.  [0]",
     "reads": "Reads of the configuration.  [0]",
@@ -567,15 +568,17 @@
 }
 
 
-@lab.command("check-agreement")
+@lab.command("model-check")
 @_bounds
+@click.option("--workload", type=click.Choice(WORKLOAD_NAMES), help="What is written.  [claims]")
 @click.option("--apart/--at-once", default=None, help="A store is an event of its own.  [at once]")
 @click.option("--depth", type=click.IntRange(1), default=10_000, help="Events in a history, at most.")
 @click.option("--states", type=click.IntRange(1), default=5_000_000, show_default=True, help="And no more.")
 @click.option("--seconds", type=click.FloatRange(0.1), default=600.0, show_default=True, help="And no more.")
 @click.option("--mistake", help="Put a mistake in, in the bounds within which it shows; `list` tells them.")
 @click.option("--json", "as_json", is_flag=True, help="Print the figures as one JSON object.")
-def check_agreement(
+def model_check(
+    workload: str | None,
     apart: bool | None,
     depth: int,
     states: int,
@@ -584,11 +587,13 @@
     as_json: bool,
     **given: int | None,
 ) -> None:
-    """Drive the lighthouses' deciders through every order of events within bounds (exit code 5: broken).
+    """Drive the control replicas' deciders through every order of events within bounds (exit code 5: broken).
+
+    `check-agreement` is an older name of it.
 
     \b
-    Example: brackengate lab check-agreement --views 2 --crashes 1
-    Example: brackengate lab check-agreement --mistake stale-tail
+    Example: brackengate lab model-check --views 2 --crashes 1
+    Example: brackengate lab model-check --mistake lease-from-receipt
     """
     import msgspec
 
@@ -597,6 +602,7 @@
     from brackengate.soundings.mistakes import MISTAKES
     from brackengate.soundings.model import Bounds, Model
     from brackengate.soundings.search import Found, Limits, search
+    from brackengate.soundings.workload import WORKLOADS
 
     if mistake is not None and mistake not in MISTAKES:
         told = "\n".join(f"  {name:<14} {one.words}" for name, one in MISTAKES.items())
@@ -608,9 +614,14 @@
     changes: dict[str, Any] = {name: value for name, value in given.items() if value is not None}
     if apart is not None:
         changes["apart"] = apart
+    if workload is not None:
+        changes["workload"] = workload
     bounds = replace(chosen.bounds if chosen is not None else Bounds(), **changes)
     if bounds.spare >= bounds.members:
         fail(f"--spare: {bounds.spare} of {bounds.members} members leave no first view", BAD)
+    most = WORKLOADS[bounds.workload].most_writes if bounds.workload else bounds.writes
+    if bounds.writes > most:
+        fail(f"--writes: {bounds.writes}; allowed for {bounds.workload}: up to {most}", BAD)
     if bounds.reads and bounds.reads > bounds.members:
         fail(f"--reads: {bounds.reads}; allowed: up to {bounds.members}, the number of members", BAD)
 
@@ -641,6 +652,9 @@
     raise SystemExit(BROKEN if found.breach else 0)
 
 
+lab.add_command(model_check, "check-agreement")
+
+
 def _show_search(figures: dict[str, Any], drawn: str) -> None:
     from rich.console import Console
     from rich.table import Table
--- a/tests/soundings/test_search.py
+++ b/tests/soundings/test_search.py
@@ -86,6 +86,10 @@
     assert kept.exit_code == 0 and "all of it was seen" in kept.output
     for wrong in (["--mistake", "none"], ["--spare", "3"], ["--reads", "4"]):
         assert run(main, ["lab", "check-agreement", *wrong]).exit_code == 2
+    assert run(main, ["lab", "model-check", "--workload", "overtaken", "--writes", "4"]).exit_code == 2
+    orders = ["--workload", "same-version", "--writes", "2", "--min-replicas", "1", "--members", "1"]
+    one = run(main, ["lab", "model-check", *orders, "--bids", "0", "--crashes", "0", "--doubts", "0"])
+    assert one.exit_code == 0 and "all of it was seen" in one.output
 
 
 def test_the_orders_that_differ_under_one_version_are_never_both_confirmed() -> None:
