--- a/brackengate/soundings/model.py
+++ b/brackengate/soundings/model.py
@@ -368,7 +368,8 @@
                 yield (
                     "start",
                     name,
-                    self.facts[state[self._at[name]]].incarnation or f"{name}{len(past.wiped)}",
+                    self.facts[state[self._at[name]]].incarnation
+                    or f"{name}{self.bounds.wipes - left['wipes']}",
                 )
                 if left["wipes"] and self._may_be_wiped(state, name, past):
                     yield ("wipe", name)
