Let no late copy of a refused order come into force

Cause: an order that was refused through one replica could still be pending at another one whose caller had gone unheard, or be under way on a link, and be taken once the world had changed. Change: an order is submitted for two seconds and not twelve; a head does not take an order that it refused within the last four, and gives no answer meanwhile. mesh config apply sends again for as long as before.

--- a/brackengate/lighthouse/chain.py
+++ b/brackengate/lighthouse/chain.py
@@ -18,13 +18,22 @@
 import msgspec
 
 from brackengate.lighthouse.actions import Action, Publish, Restart, Store, Tell
-from brackengate.lighthouse.commands import KEY, PendingCommands, PendingReply, decide
+from brackengate.lighthouse.commands import (
+    KEY,
+    REFUSALS,
+    Decision,
+    PendingCommands,
+    PendingReply,
+    RefusedOrders,
+    decide,
+)
 from brackengate.lighthouse.view import LogStatus
 from brackengate.signals.items import Item, Name, layout
 from brackengate.signals.words import (
     ITEMS,
     PUBLIC,
     Ack,
+    Amend,
     Append,
     ChainSnapshot,
     Command,
@@ -70,6 +79,7 @@
         self._published: dict[Name, tuple[int, Any]] = {}
         self._said_have = self._pruned = 0
         self._commands = PendingCommands(now)
+        self._refused = RefusedOrders()
         self._pending_replies: deque[PendingReply] = deque()
 
     def load(self, rows: list[tuple[str, str, int, Any]], now: int) -> None:
@@ -133,6 +143,7 @@
             self.caught_up_epoch = view.epoch
         out += self._say_have(now)
         out += self._tail()
+        out += self._give_up(now)
         for command_id in list(self._commands.by_id):
             out += self._submit(command_id, now)
         return out
@@ -145,8 +156,7 @@
             and now - self._said_have >= HAVE
         ):
             out += self._say_have(now)
-        for command_id in self._commands.expired(now):
-            out.append(self._commands.settle(command_id, None))
+        out += self._give_up(now)
         for command_id in self._commands.due(now):
             out += self._submit(command_id, now)
         if now - self._pruned > PRUNE:
@@ -187,6 +197,9 @@
         """Whoever asked has gone."""
         self._commands.withdraw(local)
 
+    def _give_up(self, now: int) -> list[Action]:
+        return [self._commands.settle(command_id, None) for command_id in self._commands.expired(now)]
+
     def _submit(self, command_id: int, now: int) -> list[Action]:
         word = self._commands.submission(command_id, self.view.epoch, now)
         if self.head == self.me:
@@ -203,10 +216,19 @@
         if not fit or len(self.view.members) < self.min_replicas or word.epoch != self.view.epoch:
             return []  # submitted again once its replica knows the view
         decision = decide(word.what, self.rows, self.items)
+        if isinstance(word.what, Amend) and not self._answers_order(word.what.body, decision, now):
+            return []
         out = self._append(list(decision.rows), now)
         self._pending_replies.append(PendingReply(self.index, addr, word.id, decision.result))
         return out
 
+    def _answers_order(self, body: str, decision: Decision, now: int) -> bool:
+        """False: it may be a late copy of an order that was refused."""
+        if isinstance(decision.result, REFUSALS):
+            self._refused.add(body, now)
+            return True
+        return not decision.rows or not self._refused.holds(body, now)
+
     def _reply(self, reply: PendingReply) -> list[Action]:
         result = reply.result if reply.result is not None else self.configuration()
         word = Result(reply.id, result)
--- a/brackengate/lighthouse/commands.py
+++ b/brackengate/lighthouse/commands.py
@@ -38,6 +38,9 @@
 
 RESUBMIT_AFTER = 400_000  # a command without a result is submitted again, microseconds
 GIVE_UP_AFTER = 12_000_000  # and forgotten
+ORDER_GIVE_UP_AFTER = 2_000_000  # so is an order: its operator goes elsewhere after a second
+HOLD_REFUSED = 4_000_000  # longer than an order is submitted for, and its last copy under way
+MOST_REFUSED = 1_000  # orders whose refusal a head remembers
 KEY = "key"
 HISTORY = "history"  # rows of what was acknowledged of an item, see `orders.py`
 REFUSALS = (HeldBy, InvalidOrder, ConflictingOrder, UndecidedOrder)
@@ -121,13 +124,41 @@
                 self.settle(command_id, None)
 
     def expired(self, now: int) -> list[int]:
-        return [number for number, one in self.by_id.items() if now - one.at > GIVE_UP_AFTER]
+        return [number for number, one in self.by_id.items() if now - one.at > _give_up_after(one.what)]
 
     def due(self, now: int) -> list[int]:
         """Those that are to be submitted again."""
         return [number for number, one in self.by_id.items() if now - one.sent > RESUBMIT_AFTER]
 
 
+def _give_up_after(what: Command) -> int:
+    return ORDER_GIVE_UP_AFTER if isinstance(what, Amend) else GIVE_UP_AFTER
+
+
+@dataclass(slots=True)
+class RefusedOrders:
+    """The orders that this replica refused lately as the head, by their text.
+
+    Another copy of one may be under way still, sent to another replica before.  It must not come into force
+    behind the refusal, so for a while such an order is not taken, and no answer is given: a late copy ends
+    there, and an operator who sends it again is heard once the time is over.
+    """
+
+    refused_at: dict[str, int] = field(default_factory=dict)
+
+    def add(self, body: str, now: int) -> None:
+        self.refused_at.pop(body, None)
+        self.refused_at[body] = now
+        for old in list(self.refused_at):
+            if now - self.refused_at[old] <= HOLD_REFUSED and len(self.refused_at) <= MOST_REFUSED:
+                break
+            del self.refused_at[old]
+
+    def holds(self, body: str, now: int) -> bool:
+        refused_at = self.refused_at.get(body)
+        return refused_at is not None and now - refused_at <= HOLD_REFUSED
+
+
 @dataclass(frozen=True, slots=True)
 class Decision:
     """The rows that a command sets, and its result.  `result` None: read when it is said."""
--- a/tests/lighthouse/test_commands_pending.py
+++ b/tests/lighthouse/test_commands_pending.py
@@ -10,7 +10,15 @@
 
 from brackengate.http.message import Arrival
 from brackengate.lighthouse.actions import Answer
-from brackengate.lighthouse.commands import GIVE_UP_AFTER, RESUBMIT_AFTER, PendingCommands
+from brackengate.lighthouse.commands import (
+    GIVE_UP_AFTER,
+    HOLD_REFUSED,
+    MOST_REFUSED,
+    ORDER_GIVE_UP_AFTER,
+    RESUBMIT_AFTER,
+    PendingCommands,
+    RefusedOrders,
+)
 from brackengate.lighthouse.control import Control, answer_to
 from brackengate.signals.words import (
     Amend,
@@ -58,12 +66,26 @@
 
 def test_a_command_is_submitted_again_and_then_given_up() -> None:
     commands = PendingCommands(100)
-    command = commands.add(ORDER, 7, 0)
-    commands.submission(command, 1, 0)
+    order, read = commands.add(ORDER, 7, 0), commands.add(Read(), 8, 0)
+    commands.submission(order, 1, 0)
+    commands.submission(read, 1, 0)
     assert commands.due(RESUBMIT_AFTER) == []
-    assert commands.due(RESUBMIT_AFTER + 1) == [command]
-    assert commands.expired(GIVE_UP_AFTER) == []
-    assert commands.expired(GIVE_UP_AFTER + 1) == [command]
+    assert commands.due(RESUBMIT_AFTER + 1) == [order, read]
+    assert commands.expired(ORDER_GIVE_UP_AFTER) == []
+    assert commands.expired(ORDER_GIVE_UP_AFTER + 1) == [order]
+    assert commands.expired(GIVE_UP_AFTER) == [order]
+    assert commands.expired(GIVE_UP_AFTER + 1) == [order, read]
+
+
+def test_refusals_are_remembered_for_a_while_and_up_to_a_number() -> None:
+    refused = RefusedOrders()
+    for n in range(MOST_REFUSED + 10):
+        refused.add(f"order {n}", n)
+    assert (len(refused.refused_at), refused.holds("order 9", n)) == (MOST_REFUSED, False)
+    assert refused.holds("order 10", 10 + HOLD_REFUSED)
+    assert not refused.holds("order 10", 11 + HOLD_REFUSED)
+    refused.add("order 10", 2 * HOLD_REFUSED)
+    assert list(refused.refused_at) == ["order 10"]
 
 
 @pytest.mark.parametrize("result", [*REFUSED, CommandDone(), Configuration({"Plants": []}), None])
--- a/tests/lighthouse/test_order_timelines.py
+++ b/tests/lighthouse/test_order_timelines.py
@@ -204,6 +204,41 @@
     assert mesh.read("new")["Revision"] == "r5"
 
 
+def test_nor_where_its_replica_does_not_hear_that_the_caller_has_gone() -> None:
+    mesh = Mesh()
+    early = order(route("new", 5, to="later"))
+    away = next(host for host in mesh.hosts if host is not mesh.head())
+    mesh.cut_off(away)
+    away.ask(Amend(early), lambda _: None)
+    mesh.passes(1)
+    sent = mesh.operator.send(early, [mesh.head()])
+    mesh.taken(order(plants=[plant("later", 3)]))
+    assert sent.status == 400
+    mesh.core.heal()
+    mesh.passes(12)
+    assert mesh.read("new") == {}
+
+
+def test_nor_by_a_copy_that_is_under_way() -> None:
+    """It is not taken for a while, and then it is when it is sent again."""
+    mesh = Mesh()
+    early = order(route("new", 5, to="later"))
+    refused = mesh.operator.send(early)
+    mesh.passes(0.1)
+    assert refused.status == 400
+    service = mesh.operator.send(order(plants=[plant("later", 3)]))
+    mesh.passes(0.1)
+    assert service.status == 200
+    other = next(host for host in mesh.hosts if host is not mesh.head())
+    other.withdraw(other.ask(Amend(early), lambda _: None))  # its submission is on the link
+    mesh.passes(1)
+    assert mesh.read("new") == {}
+    again = mesh.operator.send(early)
+    mesh.passes(6)
+    assert again.status == 200
+    assert mesh.read("new")["Revision"] == "r5"
+
+
 def test_a_submission_of_an_earlier_view_is_not_taken() -> None:
     """It may have lain in a queue, and its caller may have been refused since."""
     chain = Chain("a:80", 1, 60 * S, 0, 1, 0)
