--- a/brackengate/lighthouse/commands.py
+++ b/brackengate/lighthouse/commands.py
@@ -16,6 +16,7 @@
 
 from brackengate.lighthouse import orders
 from brackengate.lighthouse.actions import Answer
+from brackengate.lighthouse.rows import KEY
 from brackengate.signals.items import Invalid, Item, Name, read_call
 from brackengate.signals.words import (
     Amend,
@@ -41,7 +42,6 @@
 ORDER_GIVE_UP_AFTER = 2_000_000  # so is an order: its operator goes elsewhere after a second
 HOLD_REFUSED = 4_000_000  # longer than an order is submitted for, and its last copy under way
 MOST_REFUSED = 1_000  # orders whose refusal a head remembers
-KEY = "key"
 HISTORY = "history"  # rows of what was acknowledged of an item, see `orders.py`
 REFUSALS = (HeldBy, InvalidOrder, ConflictingOrder, UndecidedOrder)
 
