--- a/tests/lighthouse/test_order_timelines.py
+++ b/tests/lighthouse/test_order_timelines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from pathlib import Path
 from typing import Any
 
@@ -10,7 +11,7 @@
 from corekit import Core, Host
 from operators import Operator, order, plant, route
 
-from brackengate.lighthouse.actions import Answer, Store, Tell
+from brackengate.lighthouse.actions import Action, Answer, Store, Tell
 from brackengate.lighthouse.chain import Chain
 from brackengate.lighthouse.store import open_disk
 from brackengate.signals.items import Item
@@ -248,17 +249,31 @@
     assert chain.heard("b:80", Submit(8, Amend(FIRST), epoch=2), 0) != []
 
 
+def submitted(actions: Iterable[Action]) -> list[Submit]:
+    return [one.word for one in actions if isinstance(one, Tell) and isinstance(one.word, Submit)]
+
+
+def test_an_order_whose_caller_has_gone_is_not_submitted_again() -> None:
+    chain = Chain("b:80", 1, 60 * S, 0, 1, 0)
+    members = (Member("a:80", "first", 1), Member("b:80", "first", 1))
+    chain.viewed(View(2, members), "first", 0)
+    chain.ask(Amend(FIRST), 7, 0)
+    chain.ask(Amend(X), 8, 0)
+    chain.withdraw(7)
+    assert [one.what for one in submitted(chain.tick(S // 2))] == [Amend(X)]
+    assert [one.what for one in submitted(chain.viewed(View(3, members), "first", S))] == [Amend(X)]
+
+
 def test_an_order_that_waited_too_long_is_not_submitted_in_a_new_view() -> None:
     """Its replica stood still, and hears of the view before anything else."""
     chain = Chain("b:80", 1, 60 * S, 0, 1, 0)
     members = (Member("a:80", "first", 1), Member("b:80", "first", 1))
     chain.viewed(View(2, members), "first", 0)
     chain.ask(Amend(FIRST), 7, 0)
-    asked = chain.viewed(View(3, members), "first", S)
-    assert [one.word.what for one in asked if isinstance(one, Tell) and isinstance(one.word, Submit)]
+    assert [one.what for one in submitted(chain.viewed(View(3, members), "first", S))] == [Amend(FIRST)]
     out = chain.viewed(View(4, members), "first", 3 * S)
     assert Answer(7, None) in out
-    assert not [one for one in out if isinstance(one, Tell) and isinstance(one.word, Submit)]
+    assert submitted(out) == []
 
 
 def test_an_invalid_order_beside_a_removal_is_in_force_in_no_part() -> None:
