--- a/brackengate/signals/words.py
+++ b/brackengate/signals/words.py
@@ -20,7 +20,7 @@
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
-    """A member of a view.  `inc`: the life of its disk; `since`: the epoch in which it took its seat."""
+    """A member of a view.  `incarnation`: of its disk; `since`: the epoch in which it became one."""
 
     addr: str
     incarnation: str
@@ -181,11 +181,11 @@
     epoch: int
     index: int = 0  # stored
     caught_up_epoch: int = 0  # the epoch in which it has caught up with the one before it
-    joining: bool = False  # it holds no seat, and is fit for one
+    joining: bool = False  # it is no member, and wants to be one
     disk_healthy: bool = True  # its disk takes what it is given
     zone: str = ""
     hears: tuple[str, ...] = ()
-    leaves: bool = False  # it was told to give up its seat
+    leaves: bool = False  # it was told to leave
     sent: int = 0  # the sender's steady clock when it sent this; the pong brings it back
     copied: int = -1  # a learner's complete copy reaches to this index of the log; -1: it is not complete
 
@@ -194,6 +194,7 @@
     epoch: int
     sent: int = 0  # of the ping that this answers: a lease runs from its sending
     closed: bool = False  # the sender has promised to store nothing more in this epoch
+    incarnation: str = ""  # of the process that answers
 
 
 class WantView(Word, frozen=True, tag="view?"):
@@ -212,12 +213,12 @@
 
 
 class Promise(Word, frozen=True, tag="prom"):
-    """The sender has sealed the epoch before this one: it stores nothing more in it."""
+    """The sender has closed the epoch before this one: it stores nothing more in it."""
 
     epoch: int
     ballot: Ballot
-    index: int
-    has_snapshot: bool  # it holds all that its seat owes
+    index: int  # stored
+    has_snapshot: bool  # it holds all that its membership owes
     taken_at: Ballot | None = None
     taken: View | None = None
 
@@ -366,9 +367,9 @@
 
 
 class Leave(msgspec.Struct, tag_field="t", tag="leave", frozen=True):
-    """Give up your seat, and take none until told or started again.
+    """Leave the view, and be no member until told or started again.
 
-    `replaced`: only where another lighthouse waits for a seat, or enough stay to lose `Tolerance.Machines`
+    `replaced`: only where another replica waits to be admitted, or enough stay to lose `Tolerance.Machines`
     more.
     """
 
@@ -376,7 +377,7 @@
 
 
 class Rejoin(msgspec.Struct, tag_field="t", tag="rejoin", frozen=True):
-    """Take a seat again."""
+    """Be a member again."""
 
 
 class Explain(msgspec.Struct, tag_field="t", tag="explain", frozen=True):
