Bound an operator's call at the door, and leave other commands their time

Cause: orders were given up after two seconds wherever they came from; the operators' commands and the timelines of a cut wait longer. Change: the time for which a command is pursued comes with it; the operators' door asks for two seconds.

--- a/brackengate/bridge/ask.py
+++ b/brackengate/bridge/ask.py
@@ -30,8 +30,7 @@
 
 CONNECT_S = 1.0
 ANSWER_S = 2.0  # of one lighthouse about itself and its pilots
-CHAIN_S = 14.0  # of the chain: a replica gives up a command after 12 s, an order after 2
-AMEND_PAUSE_S = 0.2
+CHAIN_S = 14.0  # of the chain: a lighthouse gives up after 12 s
 ROUNDS = 3  # members name members: a core that is being exchanged is known after as many
 Question = Stand | Held | Leave | Rejoin | Explain | Amend | Read
 QuestionResult = CommandResult | InquiryResult | None
@@ -158,15 +157,8 @@
         return [answer for answer in answers if not isinstance(answer, BaseException)]
 
     async def amend(self, body: bytes) -> QuestionResult:
-        """Through the chain; sent again where its fate is not known, which does no harm."""
-        until = asyncio.get_running_loop().time() + CHAIN_S
-        while True:
-            try:
-                return await self.first(Amend(body.decode()), CHAIN_S, _agreed)
-            except ExceptionGroup:
-                if asyncio.get_running_loop().time() >= until:
-                    raise
-            await asyncio.sleep(AMEND_PAUSE_S)
+        """Through the chain; asked again elsewhere where its fate is not known, which does no harm."""
+        return await self.first(Amend(body.decode()), CHAIN_S, _agreed)
 
     async def read(self) -> dict[str, Any]:
         found = await self.first(Read(), CHAIN_S, _agreed)
--- a/brackengate/lighthouse/chain.py
+++ b/brackengate/lighthouse/chain.py
@@ -25,6 +25,7 @@
 from brackengate.lighthouse.actions import Action, Publish, Restart, Store, Tell
 from brackengate.lighthouse.ages import KeyAges
 from brackengate.lighthouse.commands import (
+    GIVE_UP_AFTER,
     REFUSALS,
     Decision,
     PendingCommands,
@@ -244,9 +245,9 @@
 
     # --- commands
 
-    def ask(self, what: Command, local: int, now: int) -> list[Action]:
+    def ask(self, what: Command, local: int, now: int, give_up_after: int = GIVE_UP_AFTER) -> list[Action]:
         """Answered once, by `Answer(local, result)`."""
-        return self._submit(self._commands.add(what, local, now), now)
+        return self._submit(self._commands.add(what, local, now, give_up_after), now)
 
     def withdraw(self, local: int) -> None:
         """Whoever asked has gone."""
--- a/brackengate/lighthouse/commands.py
+++ b/brackengate/lighthouse/commands.py
@@ -39,8 +39,8 @@
 
 RESUBMIT_AFTER = 400_000  # a command without a result is submitted again, microseconds
 GIVE_UP_AFTER = 12_000_000  # and forgotten
-ORDER_GIVE_UP_AFTER = 2_000_000  # so is an order: its operator goes elsewhere after a second
-HOLD_REFUSED = 4_000_000  # longer than an order is submitted for, and its last copy under way
+OPERATOR_PATIENCE = 2_000_000  # an operator goes elsewhere after a second: no longer is its call pursued
+HOLD_REFUSED = 4_000_000  # longer than that, and than its last submission can be under way
 MOST_REFUSED = 1_000  # orders whose refusal a head remembers
 HISTORY = "history"  # rows of what was acknowledged of an item, see `orders.py`
 REFUSALS = (HeldBy, InvalidOrder, ConflictingOrder, UndecidedOrder)
@@ -58,6 +58,7 @@
     at: int
     sent: int
     local: int  # the carrier's number
+    give_up_after: int
     numbers: list[int] = field(default_factory=list)  # one for each time that it was submitted
 
 
@@ -83,9 +84,9 @@
     by_id: dict[int, PendingCommand] = field(default_factory=dict)
     command_of: dict[int, int] = field(default_factory=dict)  # by the number of a submission
 
-    def add(self, what: Command, local: int, now: int) -> int:
+    def add(self, what: Command, local: int, now: int, give_up_after: int = GIVE_UP_AFTER) -> int:
         self.last_id += 1
-        self.by_id[self.last_id] = PendingCommand(what, now, now, local)
+        self.by_id[self.last_id] = PendingCommand(what, now, now, local, give_up_after)
         return self.last_id
 
     def submission(self, command_id: int, epoch: int, now: int) -> Submit:
@@ -124,17 +125,13 @@
                 self.settle(command_id, None)
 
     def expired(self, now: int) -> list[int]:
-        return [number for number, one in self.by_id.items() if now - one.at > _give_up_after(one.what)]
+        return [number for number, one in self.by_id.items() if now - one.at > one.give_up_after]
 
     def due(self, now: int) -> list[int]:
         """Those that are to be submitted again."""
         return [number for number, one in self.by_id.items() if now - one.sent > RESUBMIT_AFTER]
 
 
-def _give_up_after(what: Command) -> int:
-    return ORDER_GIVE_UP_AFTER if isinstance(what, Amend) else GIVE_UP_AFTER
-
-
 @dataclass(slots=True)
 class RefusedOrders:
     """The orders that this replica refused lately as the head, by their text.
--- a/brackengate/lighthouse/control.py
+++ b/brackengate/lighthouse/control.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from brackengate.http.message import Arrival, Bad
+from brackengate.lighthouse.commands import OPERATOR_PATIENCE
 from brackengate.net.http import CallerConnection
 from brackengate.signals.door import MOST_BODY, collect, rpc
 from brackengate.signals.words import (
@@ -30,7 +31,7 @@
 
 
 class Asks(Protocol):
-    def ask(self, what: Command, done: Callable[[CommandResult | None], None]) -> int: ...
+    def ask(self, what: Command, done: Callable[[CommandResult | None], None], give_up_after: int) -> int: ...
 
     def withdraw(self, number: int) -> None: ...
 
@@ -60,8 +61,10 @@
         self._ask(Amend(text), connection, "config.amend")
 
     def _ask(self, what: Command, connection: CallerConnection, call: str) -> None:
-        """A caller that goes may be refused elsewhere: it is not pursued for it any more."""
-        number = self._asks.ask(what, lambda result: self._answer(connection, call, result))
+        """A caller that goes may be refused elsewhere: its call is not pursued any more."""
+        number = self._asks.ask(
+            what, lambda result: self._answer(connection, call, result), OPERATOR_PATIENCE
+        )
         connection.hold(lambda: self._asks.withdraw(number))
 
     def _answer(self, connection: CallerConnection, call: str, result: CommandResult | None) -> None:
--- a/brackengate/lighthouse/replica.py
+++ b/brackengate/lighthouse/replica.py
@@ -8,6 +8,7 @@
 
 from brackengate.lighthouse.actions import Action, Store
 from brackengate.lighthouse.chain import Chain
+from brackengate.lighthouse.commands import GIVE_UP_AFTER
 from brackengate.lighthouse.view import NOBODY, Agreement
 from brackengate.signals.words import (
     Ack,
@@ -103,8 +104,8 @@
     def stored(self, index: int, generation: int) -> list[Action]:
         return self.chain.stored(index, generation)
 
-    def ask(self, what: Command, local: int, now: int) -> list[Action]:
-        return self.chain.ask(what, local, now)
+    def ask(self, what: Command, local: int, now: int, give_up_after: int = GIVE_UP_AFTER) -> list[Action]:
+        return self.chain.ask(what, local, now, give_up_after)
 
     def withdraw(self, local: int) -> None:
         self.chain.withdraw(local)
--- a/brackengate/lighthouse/role.py
+++ b/brackengate/lighthouse/role.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from brackengate.lighthouse.actions import Action, Answer, Publish, Restart, Store, Tell
+from brackengate.lighthouse.commands import GIVE_UP_AFTER
 from brackengate.lighthouse.control import Control
 from brackengate.lighthouse.replica import FIRST, Replica, StoredState
 from brackengate.lighthouse.store import Damaged, Drive, Waits, damaged
@@ -275,12 +276,12 @@
         elif isinstance(word, Seen):
             self._watchroom.seen(follower.lines, word)
 
-    def ask(self, what: Command, done: Callable[[Any], None]) -> int:
+    def ask(self, what: Command, done: Callable[[Any], None], give_up_after: int = GIVE_UP_AFTER) -> int:
         """`done` gets the result once; None: it is not known what becomes of it.  A number to withdraw it."""
         self._last_ask += 1
         number = self._last_ask
         self._pending[number] = done
-        self._carry_out(self.replica.ask(what, number, self.now()))
+        self._carry_out(self.replica.ask(what, number, self.now(), give_up_after))
         return number
 
     def withdraw(self, number: int) -> None:
--- a/tests/lighthouse/corekit.py
+++ b/tests/lighthouse/corekit.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from brackengate.lighthouse.actions import Action, Answer, Publish, Restart, Store, Tell
+from brackengate.lighthouse.commands import GIVE_UP_AFTER
 from brackengate.lighthouse.failure_detector import LEASE
 from brackengate.lighthouse.replica import FIRST, Replica, StoredState
 from brackengate.lighthouse.store import NAME, open_disk
@@ -100,11 +101,11 @@
             assert isinstance(self.disk, FileState)
             self.disk.damage(damage.encode())
 
-    def ask(self, what: Command, done: Callable[[Any], None]) -> int:
+    def ask(self, what: Command, done: Callable[[Any], None], give_up_after: int = GIVE_UP_AFTER) -> int:
         number = self.core.number()
         if self.replica is not None:
             self.asked[number] = done
-            self.do(self.replica.ask(what, number, self.core.now))
+            self.do(self.replica.ask(what, number, self.core.now, give_up_after))
         return number
 
     def withdraw(self, number: int) -> None:
--- a/tests/lighthouse/operators.py
+++ b/tests/lighthouse/operators.py
@@ -13,6 +13,7 @@
 
 from corekit import Core, Host
 
+from brackengate.lighthouse.commands import OPERATOR_PATIENCE
 from brackengate.lighthouse.control import answer_to
 from brackengate.signals.words import Amend
 
@@ -86,5 +87,5 @@
                 host.withdraw(number)
                 ended(0)
 
-        number = host.ask(Amend(sent.body), lambda result: ended(answer_to(result)[0]))
+        number = host.ask(Amend(sent.body), lambda result: ended(answer_to(result)[0]), OPERATOR_PATIENCE)
         self.core.later(PATIENCE, gives_up)
--- a/tests/lighthouse/test_commands_pending.py
+++ b/tests/lighthouse/test_commands_pending.py
@@ -14,7 +14,7 @@
     GIVE_UP_AFTER,
     HOLD_REFUSED,
     MOST_REFUSED,
-    ORDER_GIVE_UP_AFTER,
+    OPERATOR_PATIENCE,
     RESUBMIT_AFTER,
     PendingCommands,
     RefusedOrders,
@@ -66,13 +66,13 @@
 
 def test_a_command_is_submitted_again_and_then_given_up() -> None:
     commands = PendingCommands(100)
-    order, read = commands.add(ORDER, 7, 0), commands.add(Read(), 8, 0)
+    order, read = commands.add(ORDER, 7, 0, OPERATOR_PATIENCE), commands.add(Read(), 8, 0)
     commands.submission(order, 1, 0)
     commands.submission(read, 1, 0)
     assert commands.due(RESUBMIT_AFTER) == []
     assert commands.due(RESUBMIT_AFTER + 1) == [order, read]
-    assert commands.expired(ORDER_GIVE_UP_AFTER) == []
-    assert commands.expired(ORDER_GIVE_UP_AFTER + 1) == [order]
+    assert commands.expired(OPERATOR_PATIENCE) == []
+    assert commands.expired(OPERATOR_PATIENCE + 1) == [order]
     assert commands.expired(GIVE_UP_AFTER) == [order]
     assert commands.expired(GIVE_UP_AFTER + 1) == [order, read]
 
@@ -116,7 +116,8 @@
         self.asked: list[Command] = []
         self.withdrawn: list[int] = []
 
-    def ask(self, what: Command, done: Callable[[Any], None]) -> int:
+    def ask(self, what: Command, done: Callable[[Any], None], give_up_after: int) -> int:
+        assert give_up_after == OPERATOR_PATIENCE
         self.asked.append(what)
         return len(self.asked)
 
--- a/tests/lighthouse/test_order_timelines.py
+++ b/tests/lighthouse/test_order_timelines.py
@@ -13,6 +13,7 @@
 
 from brackengate.lighthouse.actions import Action, Answer, Store, Tell
 from brackengate.lighthouse.chain import Chain
+from brackengate.lighthouse.commands import OPERATOR_PATIENCE
 from brackengate.lighthouse.store import open_disk
 from brackengate.signals.items import Item
 from brackengate.signals.words import Amend, Configuration, Member, Read, Row, Submit, View
@@ -210,7 +211,7 @@
     early = order(route("new", 5, to="later"))
     away = next(host for host in mesh.hosts if host is not mesh.head())
     mesh.cut_off(away)
-    away.ask(Amend(early), lambda _: None)
+    away.ask(Amend(early), lambda _: None, OPERATOR_PATIENCE)
     mesh.passes(1)
     sent = mesh.operator.send(early, [mesh.head()])
     mesh.taken(order(plants=[plant("later", 3)]))
@@ -269,7 +270,7 @@
     chain = Chain("b:80", 1, 60 * S, 0, 1, 0)
     members = (Member("a:80", "first", 1), Member("b:80", "first", 1))
     chain.viewed(View(2, members), "first", 0)
-    chain.ask(Amend(FIRST), 7, 0)
+    chain.ask(Amend(FIRST), 7, 0, OPERATOR_PATIENCE)
     assert [one.what for one in submitted(chain.viewed(View(3, members), "first", S))] == [Amend(FIRST)]
     out = chain.viewed(View(4, members), "first", 3 * S)
     assert Answer(7, None) in out
