--- a/brackengate/lighthouse/chain.py
+++ b/brackengate/lighthouse/chain.py
@@ -24,7 +24,15 @@
 
 from brackengate.lighthouse.actions import Action, Publish, Restart, Store, Tell
 from brackengate.lighthouse.ages import KeyAges
-from brackengate.lighthouse.commands import PendingCommands, PendingReply, decide
+from brackengate.lighthouse.commands import (
+    GIVE_UP_AFTER,
+    REFUSALS,
+    Decision,
+    PendingCommands,
+    PendingReply,
+    RefusedOrders,
+    decide,
+)
 from brackengate.lighthouse.recent import RecentEntries
 from brackengate.lighthouse.rows import KEY, LatestRows, State, state_of
 from brackengate.lighthouse.transfer import COMPLETE, Differs, Learner, check, next_piece, taken
@@ -34,6 +42,7 @@
     ITEMS,
     PUBLIC,
     Ack,
+    Amend,
     Append,
     Command,
     Configuration,
@@ -93,6 +102,7 @@
         self._said_have = self._pruned = 0
         self._pruned_to = 0  # the last entry that frees old keys
         self._commands = PendingCommands(now)
+        self._refused = RefusedOrders()
         self._pending_replies: deque[PendingReply] = deque()
 
     def load(
@@ -186,6 +196,7 @@
         out += self._say_have(now)
         out += self._tail()
         out += self._learn(now)
+        out += self._give_up(now)
         for command_id in list(self._commands.by_id):
             out += self._submit(command_id, now)
         return out
@@ -199,8 +210,7 @@
             and now - self._said_have >= HAVE
         ):
             out += self._say_have(now)
-        for command_id in self._commands.expired(now):
-            out.append(self._commands.settle(command_id, None))
+        out += self._give_up(now)
         for command_id in self._commands.due(now):
             out += self._submit(command_id, now)
         self.ages.mark(now, self.state.index)
@@ -235,14 +245,17 @@
 
     # --- commands
 
-    def ask(self, what: Command, local: int, now: int) -> list[Action]:
+    def ask(self, what: Command, local: int, now: int, give_up_after: int = GIVE_UP_AFTER) -> list[Action]:
         """Answered once, by `Answer(local, result)`."""
-        return self._submit(self._commands.add(what, local, now), now)
+        return self._submit(self._commands.add(what, local, now, give_up_after), now)
 
     def withdraw(self, local: int) -> None:
         """Whoever asked has gone."""
         self._commands.withdraw(local)
 
+    def _give_up(self, now: int) -> list[Action]:
+        return [self._commands.settle(command_id, None) for command_id in self._commands.expired(now)]
+
     def _submit(self, command_id: int, now: int) -> list[Action]:
         word = self._commands.submission(command_id, self.view.epoch, now)
         if self.head == self.me:
@@ -259,10 +272,19 @@
         if not fit or len(self.view.members) < self.min_replicas or word.epoch != self.view.epoch:
             return []  # submitted again once its replica knows the view
         decision = decide(word.what, self.rows, self.items)
+        if isinstance(word.what, Amend) and not self._answers_order(word.what.body, decision, now):
+            return []
         out = self._append(list(decision.rows), now)
         self._pending_replies.append(PendingReply(self.index, addr, word.id, decision.result))
         return out
 
+    def _answers_order(self, body: str, decision: Decision, now: int) -> bool:
+        """False: it may be a late copy of an order that was refused."""
+        if isinstance(decision.result, REFUSALS):
+            self._refused.add(body, now)
+            return True
+        return not decision.rows or not self._refused.holds(body, now)
+
     def _reply(self, reply: PendingReply) -> list[Action]:
         result = reply.result if reply.result is not None else self.configuration()
         word = Result(reply.id, result)
