--- a/tests/lighthouse/timeline.py
+++ b/tests/lighthouse/timeline.py
@@ -11,9 +11,10 @@
 `cut` (from all, or `cut AB` from these), `mute` (what it sends is lost), `deaf` (what is sent to it is lost),
 `hold`, `holdout`, `holdin` (both ways, or one: it lies in queues until it arrives together), `heal`;
 `stall MS` (its disk), `freeze MS`; `leave`, `replaced` (leave where others can take its place), `rejoin`; and
-what is looked at: `head`, `in`, `out` (of the view), `has KEY`, `serves`, `away`, `idle MS` (it has served no
-follower for so long).  Answers are kept by cell, as in `answers["k1 g1"]`, and why a member does not leave by
-its column, as in `answers["A"]`.  A column `(D)` is a machine that is not there before its first `up`.
+what is looked at: `head`, `in`, `out` (of the view), `has KEY`, `lacks KEY`, `serves`, `away`, `idle MS` (it
+has served no follower for so long).  Answers are kept by cell, as in `answers["k1 g1"]`, and why a member
+does not leave by its column, as in `answers["A"]`.  A column `(D)` is a machine that is not there before its
+first `up`.
 """
 
 from __future__ import annotations
@@ -145,6 +146,7 @@
         "in": lambda: member.agreement.is_member and member.chain.has_snapshot,
         "out": lambda: not member.agreement.is_member,
         "has": lambda: ("key", rest[0]) in member.chain.rows,
+        "lacks": lambda: ("key", rest[0]) not in member.chain.rows,
         "serves": lambda: member.serves(core.now),
         "away": lambda: not member.serves(core.now),
         "idle": lambda: core.now - core.served.get(host.name, 0) >= int(rest[0]) * 1000,
