--- a/brackengate/lighthouse/view.py
+++ b/brackengate/lighthouse/view.py
@@ -39,7 +39,7 @@
 
 RANK = 400_000  # each member in front gets this long to coordinate
 CHANGE_TIMEOUT = 500_000  # a ballot without an outcome is begun anew
-ADMISSION_LAG = 500  # entries that a learner may lack: it is fed them before it counts as complete
+ADMISSION_LAG = 2_000  # entries that a learner may lack: it is fed them before it counts as complete
 
 
 class Agreement(Contact):
