Forget machines that are gone; test that a replica's own promise ends its lease

Cause: each address ever met was kept for the life of a process, and a member looks over all at each ping. Change: a member forgets one that is no member and silent for ten minutes.

--- a/brackengate/lighthouse/contact.py
+++ b/brackengate/lighthouse/contact.py
@@ -14,6 +14,7 @@
 from brackengate.lighthouse.ballots import NOBODY, Acceptor
 from brackengate.lighthouse.failure_detector import (
     APART,
+    FORGOTTEN,
     GAP,
     LEASE,
     NEVER,
@@ -132,6 +133,14 @@
         self._ticked = now
         return still
 
+    def _forget_the_silent(self, now: int) -> None:
+        """Guards against a list that grows with each machine that ever was.  Whoever is no member keeps all:
+        among them may be the only ones that it can find the view by."""
+        if self.is_member:
+            for addr in [addr for addr, peer in self.peers.items() if peer.silence(now) > FORGOTTEN]:
+                if self.view.member(addr) is None:
+                    del self.peers[addr]
+
     def _on_ping(self, addr: str, peer: Peer, ping: Ping, now: int, log: LogStatus) -> list[Action]:
         peer.said, peer.said_at = ping, now
         pong = Pong(self.view.epoch, ping.sent, self.epoch_closed, self.incarnation)
--- a/brackengate/lighthouse/failure_detector.py
+++ b/brackengate/lighthouse/failure_detector.py
@@ -18,6 +18,7 @@
 GAP = 350_000  # this process stood still: nothing that it believes of the others is fresh
 APART = 500_000  # two that do not hear each other for so long, by their own word
 REMEMBERED = 4 * DEAD  # an answer to an older ping is no answer
+FORGOTTEN = 600_000_000  # without a word from one that is no member
 NEVER = -(2**60)
 
 
@@ -42,6 +43,10 @@
         """What it said of itself, where that is recent."""
         return self.said if now - self.said_at < DEAD else None
 
+    def silence(self, now: int) -> int:
+        """For how long it has said nothing."""
+        return now - max(self.answered, self.said_at)
+
     def on_ping_sent(self, now: int) -> None:
         kept = [sent for sent in self.pings if now - sent < REMEMBERED and sent != now]
         self.pings = (*kept, now)
--- a/brackengate/lighthouse/view.py
+++ b/brackengate/lighthouse/view.py
@@ -74,6 +74,7 @@
         out: list[Action] = []
         if now - self._pinged >= PING:
             self._pinged = now
+            self._forget_the_silent(now)
             out += self._ping(now, log)
         return out + self._reconfigure(now, log)
 
--- a/tests/lighthouse/test_membership.py
+++ b/tests/lighthouse/test_membership.py
@@ -9,6 +9,7 @@
 from brackengate.lighthouse.actions import Action, Store, Tell
 from brackengate.lighthouse.ballots import NOBODY, ViewChange, quorum
 from brackengate.lighthouse.contact import LogStatus
+from brackengate.lighthouse.failure_detector import FORGOTTEN, LEASE
 from brackengate.lighthouse.membership import MembershipFacts, next_members
 from brackengate.lighthouse.view import ADMISSION_LAG, Agreement
 from brackengate.signals.words import Line, Member, Ping, Pong, Prepare, Promise, View
@@ -202,3 +203,25 @@
     core.hear("C", Pong(1, core.now, False, "i"))
     assert not core.agreement.holds_lease(core.now)  # one answer to each ping
     assert core.agreement._acceptor.promised == NOBODY
+
+
+def test_its_own_promise_ends_the_lease() -> None:
+    """With B it is a majority, and with C, which it gave its promise to, another one that may go on."""
+    core = Scripted()
+    for _ in range(3):
+        core.round("B", "C")
+    core.hear("C", Prepare(2, (9, "C")))
+    promised = core.now
+    while core.now - promised < LEASE:
+        assert core.agreement.holds_lease(core.now)  # what was in force is not older than that
+        core.round("B")
+    assert not core.agreement.holds_lease(core.now)
+
+
+def test_machines_that_are_gone_are_forgotten_by_members() -> None:
+    core = Scripted()
+    for n in range(50):
+        core.hear(f"gone{n}", Ping("n", 1, joining=True))
+    for core.now in range(0, FORGOTTEN + 600_000, 300_000):
+        core.agreement.tick(core.now, core.log)
+    assert sorted(core.agreement.peers) == ["B", "C"]
