--- a/brackengate/lighthouse/membership.py
+++ b/brackengate/lighthouse/membership.py
@@ -10,7 +10,7 @@
 
 from dataclasses import dataclass
 
-from brackengate.signals.words import Member
+from brackengate.signals.words import Member, View
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +76,37 @@
     return None
 
 
+@dataclass(frozen=True, slots=True)
+class LeaveRequest:
+    """A member is told to leave."""
+
+    view: View
+    live: int  # members
+    staying: int  # live members but this one and those that leave
+    min_replicas: int
+    replaced: bool  # what is left must bear the next loss, or have somebody to admit
+    successor: bool  # somebody waits to be admitted, and is counted on
+
+
+def refusal_to_leave(request: LeaveRequest) -> str:
+    """Why it does not leave; empty where it does, as soon as the others do without it."""
+    view, minimum = request.view, request.min_replicas
+    if request.staying + request.successor < minimum:
+        return (
+            f"{request.staying} of the {len(view.members)} members of view {view.epoch} would"
+            f" be left; a write needs {minimum} (Tolerance.Machines + 1)"
+        )
+    if request.live < view.majority:
+        return f"too few members of view {view.epoch} answer for a new view to be agreed"
+    needed = outlasting(minimum)
+    if request.replaced and not request.successor and request.staying < needed:
+        return (
+            f"{request.staying} members would be left and no other replica waits to be admitted;"
+            f" it takes {needed} to lose {minimum - 1} more"
+        )
+    return ""
+
+
 def outlasting(min_replicas: int) -> int:
     """So many members that a majority is left when `min_replicas - 1` of them are lost."""
     return 2 * min_replicas - 1
--- a/brackengate/lighthouse/view.py
+++ b/brackengate/lighthouse/view.py
@@ -18,7 +18,7 @@
 from brackengate.lighthouse.ballots import NOBODY, Acceptor, ViewChange, quorum
 from brackengate.lighthouse.contact import Contact, LogStatus
 from brackengate.lighthouse.failure_detector import APART, NEVER, PING
-from brackengate.lighthouse.membership import MembershipFacts, next_members, outlasting
+from brackengate.lighthouse.membership import LeaveRequest, MembershipFacts, next_members, refusal_to_leave
 from brackengate.signals.words import (
     Accept,
     Accepted,
@@ -124,21 +124,13 @@
         if not self.is_member:
             return f"{self.me} is no member of view {self.view.epoch}"
         alive = self._live_members(now)
-        left = [member for member in alive if member.addr != self.me and not self._leaving(member)]
+        staying = [member for member in alive if member.addr != self.me and not self._leaving(member)]
         successor = replaced and any(self._learners(now))
-        if len(left) + successor < self._min_replicas:
-            return (
-                f"{len(left)} of the {len(self.view.members)} members of view {self.view.epoch} would"
-                f" be left; a write needs {self._min_replicas} (Tolerance.Machines + 1)"
-            )
-        if len(alive) < self.view.majority:
-            return f"too few members of view {self.view.epoch} answer for a new view to be agreed"
-        stand = outlasting(self._min_replicas)
-        if replaced and not successor and len(left) < stand:
-            return (
-                f"{len(left)} members would be left and no other replica waits to be admitted;"
-                f" it takes {stand} to lose {self._min_replicas - 1} more"
-            )
+        why = refusal_to_leave(
+            LeaveRequest(self.view, len(alive), len(staying), self._min_replicas, replaced, successor)
+        )
+        if why:
+            return why
         self.leaves = True
         return ""
 
--- a/tests/lighthouse/test_second_loss.py
+++ b/tests/lighthouse/test_second_loss.py
@@ -206,3 +206,14 @@
     life.at(3, 2, "down")
     life.at(3.3, 3, "up")
     life.ends(9, 3)
+
+
+@pytest.mark.parametrize(("members", "tolerance"), [(3, 1), (6, 2)])
+def test_an_empty_successor_is_complete_long_before_the_next_loss(members: int, tolerance: int) -> None:
+    """With little to copy: 0.5 s, of the 4 s that `Settling` gives."""
+    life = Life(members, tolerance, 1)
+    life.at(3, 1, "wipe")
+    life.at(4, members, "up")
+    life.core.run(4 * S + 500_000)
+    successor = life.hosts[members].replica
+    assert successor is not None and successor.chain.has_snapshot
