--- a/brackengate/lighthouse/store.py
+++ b/brackengate/lighthouse/store.py
@@ -36,7 +36,7 @@
 
 from brackengate.lighthouse.actions import Store
 from brackengate.lighthouse.replica import FIRST, StoredState
-from brackengate.lighthouse.rows import CommittedRows, LoadedRows, is_deletion
+from brackengate.lighthouse.rows import BUCKETS, CommittedRows, LoadedRows, bucket_of, is_deletion
 from brackengate.lighthouse.view import NOBODY
 from brackengate.signals.words import Ballot, Entry, Row, View
 
@@ -46,7 +46,12 @@
 NAME = "lighthouse.db"
 ASIDE = f"{NAME}.damaged"
 TALLY = "lighthouse.tally"
+ROWS_TABLE = (  # in the order in which copies come, so that a piece is written to few pages
+    "CREATE TABLE rows (bucket INTEGER, kind TEXT, name TEXT, place INTEGER, value BLOB,"
+    " PRIMARY KEY (bucket, kind, name)) WITHOUT ROWID"
+)
 LOG_TABLE = "CREATE TABLE log (place INTEGER PRIMARY KEY, value BLOB)"
+THIS_ROW = "WHERE bucket = ? AND kind = ? AND name = ?"
 LOAD_AT_ONCE = 50_000  # rows that are held twice while they are read
 NO_SOUND_FILE = (sqlite3.SQLITE_CORRUPT, sqlite3.SQLITE_NOTADB)
 
@@ -123,10 +128,7 @@
         disk.settle("MEMORY")  # what is cut off here is begun anew
         run = disk.db.execute
         run("CREATE TABLE meta (name TEXT PRIMARY KEY, value BLOB) WITHOUT ROWID")
-        run(
-            "CREATE TABLE rows (kind TEXT, name TEXT, place INTEGER, value BLOB,"
-            " PRIMARY KEY (kind, name)) WITHOUT ROWID"
-        )
+        run(ROWS_TABLE)
         run(LOG_TABLE)
         disk.write([Store({"form": FORM, "inc": incarnation})])
     finally:
@@ -269,9 +271,19 @@
         self._tell()
 
     def _raise_form(self) -> None:
-        self.db.execute("DELETE FROM meta")
-        self.db.execute("INSERT INTO meta VALUES ('form', ?)", (msgspec.json.encode(FORM),))
-        self.db.execute(LOG_TABLE.replace("TABLE", "TABLE IF NOT EXISTS"))
+        run = self.db.execute
+        run("DELETE FROM meta")
+        run("INSERT INTO meta VALUES ('form', ?)", (msgspec.json.encode(FORM),))
+        if self._form:  # else the tables are there
+            self.db.create_function("bucket_of", 1, lambda name: crc32(name) % BUCKETS, deterministic=True)
+            run("ALTER TABLE rows RENAME TO rows_before")
+            run(ROWS_TABLE)
+            run(
+                "INSERT INTO rows SELECT bucket_of(CAST(name AS BLOB)), kind, name, place, value"
+                " FROM rows_before ORDER BY 1, 2, 3"
+            )
+            run("DROP TABLE rows_before")
+            run(LOG_TABLE)
 
     # --- the number of commits, told apart
 
@@ -336,15 +348,15 @@
         return msgspec.json.encode(self.meta)
 
     def _row(self, place: int, kind: str, name: str, value: Any) -> None:
-        run, key = self._run, (kind, name)
-        for old in run("SELECT place, value FROM rows WHERE kind = ? AND name = ?", key).fetchall():
+        run, key = self._run, (bucket_of(name), kind, name)
+        for old in run(f"SELECT place, value FROM rows {THIS_ROW}", key).fetchall():
             self.sum -= _sum_of(kind.encode(), name.encode(), *old)
         if is_deletion(kind, value):
-            run("DELETE FROM rows WHERE kind = ? AND name = ?", key)
+            run(f"DELETE FROM rows {THIS_ROW}", key)
             return
         new = msgspec.json.encode(value)
         self.sum += _sum_of(kind.encode(), name.encode(), place, new)
-        run("INSERT OR REPLACE INTO rows VALUES (?, ?, ?, ?)", (kind, name, place, new))
+        run("INSERT OR REPLACE INTO rows VALUES (?, ?, ?, ?, ?)", (*key, place, new))
 
     def _drop_entries(self, index: int) -> None:
         """Those up to that one."""
