--- a/brackengate/lighthouse/chain.py
+++ b/brackengate/lighthouse/chain.py
@@ -22,17 +22,17 @@
 
 import msgspec
 
-from brackengate.lighthouse.actions import Action, Publish, Restart, Store, Tell
+from brackengate.lighthouse.actions import Action, Publish, Restart, Tell
 from brackengate.lighthouse.ages import KeyAges
 from brackengate.lighthouse.commands import PendingCommands, PendingReply, decide
-from brackengate.lighthouse.recent import RecentEntries
-from brackengate.lighthouse.rows import KEY, LatestRows, State, state_of
-from brackengate.lighthouse.transfer import COMPLETE, Differs, Learner, check, next_piece, taken
+from brackengate.lighthouse.learning import Learner, keep_committed, take_piece
+from brackengate.lighthouse.log import ReplicaLog
+from brackengate.lighthouse.rows import KEY, LatestRows, State
+from brackengate.lighthouse.transfer import COMPLETE, next_piece
 from brackengate.lighthouse.view import LogStatus
 from brackengate.signals.items import Item, Name, layout
 from brackengate.signals.words import (
     ITEMS,
-    PUBLIC,
     Ack,
     Append,
     Command,
@@ -50,10 +50,6 @@
 )
 
 HAVE = 200_000  # a member that has not met the one before it says again what it has
-RECENT, RECENT_BYTES = 20_000, 4 << 20  # committed entries kept for learners
-RECENT_PUBLIC, RECENT_PUBLIC_BYTES = 2_000, 2 << 20  # and of these, what followers may have
-APPEND_ENTRIES, APPEND_BYTES = 500, 64 << 10  # in one message
-FOLD, FOLD_MOST = 1_000_000, 2_000  # committed rows wait for the next store, so long and so many
 PRUNE_AT_ONCE = 500
 PRUNE, PRUNE_ON = 1_000_000, 100_000  # between two looks for old keys, and while there are more
 
@@ -68,27 +64,17 @@
         self.view = View(0, ())
         self.incarnation = ""
         self.epoch_closed = False
-        self.generation = 0  # of what is held: another one begins where some of it is dropped
-        self.index = self.stored_index = index  # in memory, and on disk
+        self.held = ReplicaLog(index)
+        self.stored_index = index
         self.commit_index = -1  # on all disks of a view; -1: not known since the start
         self.caught_up_epoch = 0
         self.snapshot_epoch = snapshot_epoch
-        self.state = State()
         self.learner = Learner()
         self.ages = KeyAges(window)
-        self.items: dict[Name, Item] = {}  # the operator's, as in `rows`
-        self._firm = True  # whether all rows of `state` are known to be committed
-        self._firm_from = 0  # they are from this index on
         self._loaded = index
         self._fed = False  # a new member that is passed entries, and does not hold all that it owes yet
         self._owed: int | None = None  # the index from which on it does
         self._next_from: int | None = None  # the index up to which the next one was sent; None: it has to say
-        self._uncommitted: deque[Entry] = deque()
-        self._overlay: dict[Name, tuple[int, Any]] = {}  # the rows of these
-        self._folded: list[tuple[int, Row]] = []  # committed since the last store
-        self._folded_at = 0
-        self._recent = RecentEntries(RECENT, RECENT_BYTES, index)
-        self._recent_public = RecentEntries(RECENT_PUBLIC, RECENT_PUBLIC_BYTES, index)
         self._now = now  # of the last event
         self._said_have = self._pruned = 0
         self._pruned_to = 0  # the last entry that frees old keys
@@ -104,33 +90,41 @@
         now: int,
     ) -> None:
         """What is on disk at the start: committed rows, and entries of which some may not have been."""
-        entries = tuple(entries)
-        self._firm = base is not None or self.index == 0
-        if base is None:
-            base = entries[0].index - 1 if entries else self.index
-        self.state = state_of(base, rows)
-        self._firm_from = base
-        if self.snapshot_epoch and self._firm:
+        self.held.load(rows, entries, base)
+        if self.snapshot_epoch and self.held.firm:
             bucket = COMPLETE
         self.learner.position = CopyPosition(bucket, self.state.index)
-        self._take_items((name, value) for name, (_, value) in self.state.published.items())
-        for entry in entries:
-            self._take_entry(entry)
-        self._recent.begin(self.state.index)
-        self._recent_public.begin(self.state.index)
         self.ages.mark(now, self.index)
 
     # --- where it stands
 
     def log(self) -> LogStatus:
         copied = -1 if self._chain_position() >= 0 or not self.learner.complete else self.state.index
-        committed = max(self.commit_index, self.state.index if self._firm else -1)
+        committed = max(self.commit_index, self.state.index if self.held.firm else -1)
         return LogStatus(self.stored_index, self.has_snapshot, self.caught_up_epoch, committed, copied)
 
+    @property
+    def index(self) -> int:
+        """Of the last entry that is held."""
+        return self.held.index
+
+    @property
+    def generation(self) -> int:
+        return self.held.generation
+
+    @property
+    def state(self) -> State:
+        """What is committed."""
+        return self.held.state
+
     @property
     def rows(self) -> LatestRows:
-        """All rows with what is not committed yet."""
-        return LatestRows(self.state, self._overlay)
+        return self.held.rows
+
+    @property
+    def items(self) -> dict[Name, Item]:
+        """The operator's, as in `rows`."""
+        return self.held.items
 
     @property
     def has_snapshot(self) -> bool:
@@ -207,7 +201,7 @@
         if now - self._pruned > (PRUNE_ON if self.ages.looking else PRUNE):
             self._pruned = now
             out += self._prune(now)
-        return out + self._learn(now) + self._fold(now)
+        return out + self._learn(now) + list(self.held.fold_if_due(now))
 
     def reconnected(self, addr: str, now: int) -> list[Action]:
         """A connection to that member is new: what was said on the one before may be lost."""
@@ -307,7 +301,7 @@
             case CopyRequest():
                 return self._on_copy_request(addr, word)
             case CopyPiece():
-                return self._on_copy_piece(addr, word, now)
+                return self._on_copy_piece(addr, word)
             case Ack():
                 if word.epoch == self.view.epoch and addr == self._after():
                     return self._commit(min(word.index, self.stored_index))
@@ -323,7 +317,7 @@
             return []
         if word.index > self.index:
             return []  # it can't have more: a line from another life
-        if word.index < self.state.index and not self._recent.reaches(word.index):
+        if not self.held.covers(word.index):
             return []  # it has to copy
         self._next_from = word.index
         return self._feed_next(even_none=True)
@@ -337,13 +331,7 @@
         if start >= until and not even_none:
             return []
         out: list[Action] = []
-        while start < self.state.index:
-            entries, _ = self._recent.after(start, APPEND_ENTRIES, APPEND_BYTES)
-            out.append(Tell(after, Append(self.view.epoch, start, entries, until)))
-            start = entries[-1].index
-        rest = [entry for entry in self._uncommitted if start < entry.index <= until]
-        while rest or not out:
-            entries, rest = tuple(rest[:APPEND_ENTRIES]), rest[APPEND_ENTRIES:]
+        for entries in self.held.after(start, until) or [()]:
             out.append(Tell(after, Append(self.view.epoch, start, entries, until)))
             start = entries[-1].index if entries else start
         self._next_from = max(start, until)
@@ -372,56 +360,23 @@
         if self._owed is None:
             self._owed = until
         for entry in entries:
-            self._take_entry(entry)
+            self.held.take(entry)
         if self.index < self._owed:
-            return [self._log_store(entries)] if entries else []
+            return [self.held.store(entries)] if entries else []
         member = self.view.member(self.me)
         assert member is not None
         self._fed, self.snapshot_epoch, self.caught_up_epoch = False, member.since, self.view.epoch
         self._loaded = self.index
-        self.generation += 1  # nothing counts as stored until this one is
+        self.held.generation += 1  # nothing counts as stored until this one is
         self.stored_index = -1
-        return [Restart(), self._log_store(entries, lineage=member.since)]
+        return [Restart(), self.held.store(entries, lineage=member.since)]
 
     def _take(self, entries: tuple[Entry, ...], now: int) -> list[Action]:
         if not entries:
             return []
         for entry in entries:
-            self._take_entry(entry)
-        return [self._log_store(entries)]
-
-    def _take_entry(self, entry: Entry) -> None:
-        self.index = entry.index
-        self._uncommitted.append(entry)
-        for kind, name, value in entry.rows:
-            self._overlay[kind, name] = (entry.index, value)
-        self._take_items(((kind, name), value) for kind, name, value in entry.rows)
-
-    def _take_items(self, rows: Iterable[tuple[Name, Any]]) -> None:
-        for (kind, name), value in rows:
-            if kind in ITEMS:
-                self.items[kind, name] = msgspec.convert(value, Item)
-
-    def _log_store(self, entries: tuple[Entry, ...], **meta: Any) -> Store:
-        """The next store of the log, with the rows that were committed since the last one."""
-        store = self._fold_store(**meta)
-        store.meta["place"], store.entries = self.index, list(entries)
-        store.index, store.generation = self.index, self.generation
-        return store
-
-    def _fold_store(self, **meta: Any) -> Store:
-        rows, self._folded = self._folded, []
-        base = self.state.index if self._firm else None
-        return Store({"base": base, **meta}, rows, committed=self.state.index)
-
-    def _fold(self, now: int) -> list[Action]:
-        """Committed rows that wait for a store for too long get one of their own."""
-        if not self._folded:
-            self._folded_at = now
-        elif now - self._folded_at >= FOLD or len(self._folded) >= FOLD_MOST:
-            self._folded_at = now
-            return [self._fold_store()]
-        return []
+            self.held.take(entry)
+        return [self.held.store(entries)]
 
     def stored(self, index: int, generation: int) -> list[Action]:
         """The disk holds everything up to there, of that generation."""
@@ -460,12 +415,9 @@
             return out
         was_ready = self.ready
         self.commit_index = index
-        self._firm = self._firm or index >= self._firm_from
-        rows: list[Row] = []
-        while self._uncommitted and self._uncommitted[0].index <= index:
-            rows += self._commit_entry(self._uncommitted.popleft())
+        rows = self.held.commit(index)
         if self.ready and not was_ready:
-            self._recent_public.begin(index)
+            self.held.recent_public.begin(index)
             out.append(Restart())
         elif self.ready and rows:
             out.append(Publish(index, tuple(rows)))
@@ -473,48 +425,27 @@
             out += self._reply(self._pending_replies.popleft())
         return out
 
-    def _commit_entry(self, entry: Entry) -> list[Row]:
-        """Its rows are committed; those that followers may have."""
-        for row in entry.rows:
-            self.state.set(entry.index, row)
-            self._folded.append((entry.index, row))
-            if self._overlay.get((row[0], row[1]), (0,))[0] == entry.index:
-                del self._overlay[row[0], row[1]]
-        self.state.index = entry.index
-        self._recent.add(entry)
-        public = [row for row in entry.rows if row[0] in PUBLIC]
-        if public:
-            self._recent_public.add(Entry(entry.index, tuple(public)))
-        return public
-
     # --- copies
 
     def _on_copy_request(self, addr: str, word: CopyRequest) -> list[Action]:
         """Whatever has become of the view: what is sent is a prefix of what is committed."""
-        if not self.has_snapshot or not self._firm:
+        if not self.has_snapshot or not self.held.firm:
             return []
-        piece = next_piece(self.state.rows, self._recent, self.state.index, word)
+        piece = next_piece(self.state.rows, self.held.recent, self.state.index, word)
         return [Tell(addr, piece)] if piece is not None else []
 
     def _drop_entries(self) -> list[Action]:
         """No member, or a new one: it goes on from the committed rows."""
         if not self.snapshot_epoch and self.index == self.state.index:
             return []
-        self._uncommitted.clear()
-        self._overlay.clear()
-        self.items.clear()
-        self._take_items((name, value) for name, (_, value) in self.state.published.items())
-        self.generation += 1
-        self.snapshot_epoch = 0
-        self.index = self.state.index
-        self.stored_index = -1
-        self.learner.begin_anew()
-        if self._firm:
-            self.learner.position = CopyPosition(COMPLETE, self.index)
-        self.learner.storing = True
-        store = self._log_store((), lineage=0, copy=self.learner.position.bucket)
-        store.cut = True
-        return [Restart(), store]
+        self.snapshot_epoch, self.stored_index = 0, -1
+        return [Restart(), keep_committed(self.held, self.learner)]
+
+    def _learn(self, now: int) -> list[Action]:
+        if self.has_snapshot or self._fed:
+            return []
+        request = self.learner.next_request(self._sources(), now)
+        return [Tell(self.learner.source, request)] if request is not None else []
 
     def _sources(self) -> list[str]:
         """Who can send a copy, the best first: the one before it, else the tail: it has least to do."""
@@ -523,52 +454,12 @@
             return [before]
         return [member.addr for member in reversed(self.view.members) if member.addr != self.me]
 
-    def _learn(self, now: int) -> list[Action]:
-        if self.has_snapshot or self._fed:
-            return []
-        request = self.learner.next_request(self._sources(), now)
-        return [Tell(self.learner.source, request)] if request is not None else []
-
-    def _on_copy_piece(self, addr: str, piece: CopyPiece, now: int) -> list[Action]:
+    def _on_copy_piece(self, addr: str, piece: CopyPiece) -> list[Action]:
         if self.has_snapshot or self._fed or not self.learner.answered(addr, piece):
             return []
-        learner, before = self.learner, self.learner.position
-        changes = taken(before, piece)
-        if piece.anew:
-            self._forget(piece.position.index)
-        for index, row in changes:
-            self.state.set(index, row)
-            self._take_items([((row[0], row[1]), row[2])])
-        for entry in piece.entries:
-            self._recent.add(entry)
-        learner.position = piece.position
-        self.state.index = self.index = self.commit_index = self._loaded = piece.position.index
-        try:
-            check(self.state.rows, piece)
-        except Differs:
-            return self._copy_again()
-        if learner.position == before and not changes:
-            return []
-        return [self._copy_store(changes, piece.anew)]
-
-    def _copy_store(self, changes: list[tuple[int, Row]], forget: bool) -> Store:
-        self.learner.storing = True
-        meta = {"place": self.index, "base": self.index, "lineage": 0, "copy": self.learner.position.bucket}
-        return Store(meta, changes, forget=forget, index=self.index, generation=self.generation)
-
-    def _copy_again(self) -> list[Action]:
-        self._forget(0)
-        self.learner.begin_anew()
-        return [self._copy_store([], forget=True)]
-
-    def _forget(self, index: int) -> None:
-        """A copy begins: what was held before counts for nothing."""
-        self.state.clear()
-        self.items.clear()
-        self.generation += 1
-        self._firm = True
-        self.index = self.stored_index = self.commit_index = self._loaded = 0
-        self._recent.begin(index)
+        store = take_piece(self.held, self.learner, piece)
+        self.commit_index = self._loaded = self.index
+        return [store] if store is not None else []
 
     # --- what followers get
 
@@ -587,11 +478,11 @@
         """The index that they lead to, and the rows; None where a follower has to take a copy."""
         if index > self.commit_index:
             return index, ()  # it has seen more than this member: nothing until there is news for it
-        if not self._recent_public.reaches(index):
+        entries = self.held.recent_public.all_after(index)
+        if entries is None:
             return None
-        entries, _ = self._recent_public.after(index, RECENT_PUBLIC, RECENT_PUBLIC_BYTES)
         return self.commit_index, tuple(row for entry in entries for row in entry.rows)
 
     def public_piece(self, request: CopyRequest) -> CopyPiece | None:
         """Of a follower's copy."""
-        return next_piece(self.state.public, self._recent_public, self.commit_index, request)
+        return next_piece(self.state.public, self.held.recent_public, self.commit_index, request)
--- a/brackengate/lighthouse/recent.py
+++ b/brackengate/lighthouse/recent.py
@@ -53,6 +53,10 @@
             size += len(data)
         return tuple(found), True
 
+    def all_after(self, index: int) -> list[Entry] | None:
+        """None: some are gone."""
+        return [_decode(data) for _, data in self._from(index)] if self.reaches(index) else None
+
     def _from(self, index: int) -> list[tuple[int, bytes]]:
         """From the back: whoever follows closely has missed little."""
         found = []
--- a/brackengate/lighthouse/transfer.py
+++ b/brackengate/lighthouse/transfer.py
@@ -12,8 +12,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-
 from brackengate.lighthouse.recent import RecentEntries
 from brackengate.lighthouse.rows import BUCKETS, CommittedRows, bucket_of
 from brackengate.signals.words import (
@@ -27,8 +25,6 @@
 
 PIECE_ROWS = 500
 PIECE_BYTES = 64 << 10
-ANSWER_WITHIN = 600_000  # a sender that takes longer is passed over
-LOOK_AGAIN = 200_000  # a complete copy asks for what is new
 NOTHING = CopyPosition()
 COMPLETE = BUCKETS  # the bucket of a copy that holds all rows
 
@@ -90,51 +86,3 @@
             f"{rows.count} rows with sum {rows.checksum}, its sender has {piece.total.count} with"
             f" {piece.total.checksum}"
         )
-
-
-@dataclass
-class Learner:
-    """Asks for one piece after the other, of one sender after the other where one does not answer."""
-
-    position: CopyPosition = NOTHING  # of what is held in memory
-    source: str = ""
-    storing: bool = False  # the piece that came last is not on the disk yet
-    request: int = 0  # the open one; 0: none
-    asked_at: int = 0
-    last_id: int = 0
-    unanswered: list[str] = field(default_factory=list)  # since the last piece
-
-    @property
-    def complete(self) -> bool:
-        """Whether all of it is held, and on the disk."""
-        return self.position.bucket == COMPLETE and not self.storing
-
-    def next_request(self, sources: list[str], now: int) -> CopyRequest | None:
-        """The request that is due, to `source`, of those that could answer it, the best first."""
-        if self.storing or not sources:
-            return None
-        if self.request and self.source in sources:
-            if now - self.asked_at < ANSWER_WITHIN:
-                return None
-            self.unanswered.append(self.source)
-        elif not self.request and self.complete and now - self.asked_at < LOOK_AGAIN:
-            return None
-        left = [source for source in sources if source not in self.unanswered]
-        if not left:
-            self.unanswered.clear()
-        if self.source not in left:
-            self.source = (left or sources)[0]
-        self.last_id = max(self.last_id + 1, now)  # none of an earlier life comes again
-        self.request, self.asked_at = self.last_id, now
-        return CopyRequest(self.request, self.position)
-
-    def answered(self, source: str, piece: CopyPiece) -> bool:
-        """Whether that piece is the one that was asked for, and takes the copy on."""
-        if not self.request or piece.id != self.request or source != self.source:
-            return False
-        self.request = 0
-        self.unanswered.clear()
-        return piece.position.index >= self.position.index
-
-    def begin_anew(self) -> None:
-        self.position, self.request, self.storing = NOTHING, 0, False
--- a/tests/lighthouse/test_copies.py
+++ b/tests/lighthouse/test_copies.py
@@ -11,7 +11,8 @@
 from corekit import Core, Host
 from timeline import play
 
-from brackengate.lighthouse import chain, recent, transfer
+from brackengate.lighthouse import log, recent, transfer
+from brackengate.lighthouse.learning import Learner
 from brackengate.lighthouse.replica import FIRST
 from brackengate.lighthouse.rows import KEY, CommittedRows
 from brackengate.lighthouse.transfer import COMPLETE
@@ -224,7 +225,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A member is away for longer than the entries are kept: its place and its rows are of no use."""
-    monkeypatch.setattr(chain, "RECENT", 10)
+    monkeypatch.setattr(log, "RECENT", 10)
     case = Copies()
     case.learner = tail = case.members[2]
     case.hosts = case.members
@@ -369,7 +370,7 @@
     seed: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Drawn faults over five replicas, with short logs so that copies begin anew; looked at all along."""
-    monkeypatch.setattr(chain, "RECENT", 30)
+    monkeypatch.setattr(log, "RECENT", 30)
     case, rng = Copies(members=4, seed=seed, rows=300), random.Random(seed)
     case.begin()
     hosts, core = case.hosts, case.core
@@ -427,20 +428,20 @@
 
 def test_a_sender_that_has_less_than_the_taker_says_nothing() -> None:
     rows = CommittedRows.of((KEY, f"k{n}", n, ["g", "1"]) for n in range(1, 50))
-    log = recent.RecentEntries(10, 1_000, start=49)
+    entries = recent.RecentEntries(10, 1_000, start=49)
     request = transfer.CopyRequest(5, transfer.CopyPosition(COMPLETE, 50))
-    assert transfer.next_piece(rows, log, 49, request) is None
-    learner = transfer.Learner(transfer.CopyPosition(9, 50))
+    assert transfer.next_piece(rows, entries, 49, request) is None
+    learner = Learner(transfer.CopyPosition(9, 50))
     asked = learner.next_request(["a"], 100)
     assert asked is not None
     older = CopyPiece(asked.id, transfer.CopyPosition(12, 49), anew=True)
     assert not learner.answered("a", older)
 
 
-def pieces_of(rows: CommittedRows, log: recent.RecentEntries, index: int) -> Iterator[CopyPiece]:
+def pieces_of(rows: CommittedRows, entries: recent.RecentEntries, index: int) -> Iterator[CopyPiece]:
     position = transfer.NOTHING
     while True:
-        piece = transfer.next_piece(rows, log, index, transfer.CopyRequest(1, position))
+        piece = transfer.next_piece(rows, entries, index, transfer.CopyRequest(1, position))
         assert piece is not None
         yield piece
         position = piece.position
