--- a/brackengate/lighthouse/ages.py
+++ b/brackengate/lighthouse/ages.py
@@ -12,7 +12,7 @@
 from brackengate.lighthouse.rows import BUCKETS, KEY, CommittedRows
 
 MARKS = 16  # for each window
-BUCKETS_AT_ONCE = 256  # that one step looks through
+LOOK_BYTES = 1 << 20  # of rows that one step looks through
 
 
 @dataclass
@@ -39,8 +39,9 @@
                 self.cutoff = index
                 self.bucket = self.bucket if self.looking else 0
         found: list[str] = []
-        end = min(BUCKETS, self.bucket + BUCKETS_AT_ONCE)
-        while self.bucket < end and len(found) < most:
+        seen = 0
+        while self.looking and len(found) < most and seen < LOOK_BYTES:
+            seen += len(rows.buckets.get(self.bucket, b""))
             found += rows.old_names(self.bucket, KEY, self.cutoff)
             self.bucket += 1
         return found
--- a/brackengate/lighthouse/rows.py
+++ b/brackengate/lighthouse/rows.py
@@ -108,9 +108,12 @@
 
     def old_names(self, bucket: int, kind: str, index: int) -> list[str]:
         """The names of that kind whose rows are not newer than that index."""
+        blob = self.buckets.get(bucket)
+        if blob is None:
+            return []
         begin = b"[%b," % _encode(kind)
         found = []
-        for line in self.buckets.get(bucket, b"").split(b"\n")[1:]:
+        for line in blob.split(b"\n")[1:]:
             if line.startswith(begin):
                 row = _decode(line)
                 if row.index <= index:
