--- a/brackengate/lighthouse/chain.py
+++ b/brackengate/lighthouse/chain.py
@@ -383,7 +383,7 @@
         if generation != self.generation:
             return []
         if self.learner.storing:
-            self.learner.storing = False
+            self.learner.storing -= 1
             self.stored_index = index
             return self._learn(self._now) + self._say_have(self._now)
         if index <= self.stored_index:
@@ -459,7 +459,7 @@
             return []
         store = take_piece(self.held, self.learner, piece)
         self.commit_index = self._loaded = self.index
-        return [store] if store is not None else []
+        return [*([store] if store is not None else []), *self._learn(self._now)]
 
     # --- what followers get
 
--- a/brackengate/lighthouse/learning.py
+++ b/brackengate/lighthouse/learning.py
@@ -19,11 +19,13 @@
 
 @dataclass
 class Learner:
-    """Asks for one piece after the other, of one sender after the other where one does not answer."""
+    """Asks for one piece after the other, of one sender after the other where one does not answer.
+
+    A piece is asked for while the one before it is being stored: two are under way at the most."""
 
     position: CopyPosition = NOTHING  # of what is held in memory
     source: str = ""
-    storing: bool = False  # the piece that came last is not on the disk yet
+    storing: int = 0  # pieces that are not on the disk yet
     request: int = 0  # the open one; 0: none
     asked_at: int = 0
     last_id: int = 0
@@ -32,11 +34,11 @@
     @property
     def complete(self) -> bool:
         """Whether all of it is held, and on the disk."""
-        return self.position.bucket == COMPLETE and not self.storing
+        return self.position.bucket == COMPLETE and self.storing == 0
 
     def next_request(self, sources: list[str], now: int) -> CopyRequest | None:
         """The request that is due, to `source`, of those that could answer it, the best first."""
-        if self.storing or not sources or not self._due(sources, now):
+        if self.storing > 1 or not sources or not self._due(sources, now):
             return None
         left = [source for source in sources if source not in self.unanswered]
         if not left:
@@ -66,7 +68,7 @@
         return piece.position.index >= self.position.index
 
     def begin(self, position: CopyPosition) -> None:
-        self.position, self.request, self.storing = position, 0, False
+        self.position, self.request, self.storing = position, 0, 0
 
 
 def take_piece(log: ReplicaLog, learner: Learner, piece: CopyPiece) -> Store | None:
@@ -75,6 +77,7 @@
     changes = taken(before, piece)
     if piece.anew:
         log.forget(piece.position.index)
+        learner.storing = 0  # what is under way is of before
     log.learn(piece.position.index, changes, piece.entries)
     learner.position = piece.position
     try:
@@ -92,13 +95,13 @@
     """A replica that is no member any more goes on from its committed rows, if it knows which those are."""
     log.drop_uncommitted()
     learner.begin(CopyPosition(COMPLETE, log.index) if log.firm else NOTHING)
-    learner.storing = True
+    learner.storing += 1
     store = log.store((), lineage=0, copy=learner.position.bucket)
     store.cut = True
     return store
 
 
 def _store(log: ReplicaLog, learner: Learner, changes: list[tuple[int, Row]], forget: bool) -> Store:
-    learner.storing = True
+    learner.storing += 1
     meta = {"place": log.index, "base": log.index, "lineage": 0, "copy": learner.position.bucket}
     return Store(meta, changes, forget=forget, index=log.index, generation=log.generation)
--- a/brackengate/lighthouse/transfer.py
+++ b/brackengate/lighthouse/transfer.py
@@ -6,8 +6,8 @@
 sent it; it goes on at any sender whose recent entries reach back to its index, and begins anew elsewhere.
 With the last piece come the number of rows and their checksum: a copy that differs does not count.
 
-One request is open at a time, and the next is made when the piece is stored: the taker sets the pace, and
-neither side holds more than a piece.
+One request is open at a time, and the next is made when the piece has come and the one before it is stored:
+the taker sets the pace, and neither side holds more than two pieces.
 """
 
 from __future__ import annotations
--- a/brackengate/signals/lines.py
+++ b/brackengate/signals/lines.py
@@ -35,7 +35,8 @@
     ) -> None:
         self._on_line, self._on_open, self._on_lost = on_line, on_open, on_lost
         self._transport: asyncio.Transport | None = None
-        self._rest = b""
+        self._rest: list[bytes] = []  # of a line that is not whole yet
+        self._waits = 0  # bytes of it
         self.peer = ""  # who speaks, by its first line
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -47,10 +48,14 @@
         self._on_open(self)
 
     def data_received(self, data: bytes) -> None:
-        *whole, self._rest = (self._rest + data if self._rest else data).split(b"\n")
-        if len(self._rest) > MOST:
-            return self.close()
-        for one in whole:
+        whole, end, rest = data.rpartition(b"\n")
+        if not end:
+            self._rest.append(data)
+            self._waits += len(data)
+            return self.close() if self._waits > MOST else None
+        whole = b"".join((*self._rest, whole))
+        self._rest, self._waits = [rest], len(rest)
+        for one in whole.split(b"\n"):
             try:
                 word = _decode(one)
             except (msgspec.DecodeError, UnicodeDecodeError) as error:
