--- a/brackengate/lighthouse/role.py
+++ b/brackengate/lighthouse/role.py
@@ -313,8 +313,8 @@
     def _send_piece(self, follower: Follower, request: CopyRequest) -> None:
         piece = self.replica.chain.public_piece(request) if self.replica.serves(self.now()) else None
         if piece is None:
-            follower.follows = follower.copying = False
-            self._say(follower, Away())
+            follower.copying = False
+            self._send_away(follower)
             return
         follower.copying = piece.total is None
         if piece.total is not None:
--- a/tests/lighthouse/test_copies.py
+++ b/tests/lighthouse/test_copies.py
@@ -334,6 +334,29 @@
     assert case.lacks(case.learner) == []
 
 
+def test_a_new_member_that_is_passed_its_entries_one_by_one_holds_no_snapshot_before_the_last(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(log, "APPEND_ENTRIES", 1)
+    monkeypatch.setattr(log, "APPEND_BYTES", 1)
+    case = Copies()
+    case.begin()
+    case.claims(3_000, case.core.now + 3_000_000)
+
+    def is_member() -> bool:
+        replica = case.learner.replica
+        return replica is not None and replica.agreement.is_member
+
+    case.until(is_member, step=50)
+    lacks = [len(case.lacks(case.learner))]
+    while lacks[-1]:  # whatever it lacks was acknowledged before its view
+        assert not case.is_in(case.learner)
+        case.core.run(case.core.now + 1)
+        lacks.append(len(case.lacks(case.learner)))
+    assert len(set(lacks)) > 5  # it was seen in between
+    case.until(lambda: case.is_in(case.learner))
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_orders_and_keys_through_restarts_of_each_in_turn(seed: int) -> None:
     """What `benchmarks/snapshots.py` does with 1,000 orders and 200,000 keys."""
