--- a/tests/pilot/callkit.py
+++ b/tests/pilot/callkit.py
@@ -31,7 +31,7 @@
 from brackengate.pilot.wake import Wake
 from brackengate.pilot.way import WayOut
 from brackengate.signals.door import listener
-from brackengate.signals.words import Ask, Claim
+from brackengate.signals.words import Claim, Unclaim
 
 INBOUND, APPLICATION, OUTBOUND = 8300, 8301, 8304
 SERVICES = ("front", "p", "p", "p", "s")  # beside each proxy
@@ -259,7 +259,9 @@
         self._rng = random.Random(f"{rig.seen.script.seed}/core")
         self._held: dict[str, tuple[str, str]] = {}
 
-    def ask(self, process: RoleProcess, what: Ask, done: Callable[[Any], None], within_s: float) -> None:
+    def ask(
+        self, process: RoleProcess, what: Claim | Unclaim, done: Callable[[Any], None], within_s: float
+    ) -> None:
         waiting = [done]
 
         def answers(result: Any) -> None:
@@ -282,7 +284,7 @@
             return 1 * MS
         return self._rng.choice((None, 50 * MS, 400 * MS, 1500 * MS))
 
-    def _does(self, what: Any) -> Any:
+    def _does(self, what: Claim | Unclaim) -> Any:
         held, mine = self._held.get(what.key), (what.gate, what.attempt)
         if isinstance(what, Claim):
             if held is None or held == (what.gate, what.instead):
