Give keys a module of their own, and keep a lifted claim by its name

And a claim that was lifted was forgotten: a sending of it that comes late (after a change of view) would then hold the key against its own gate to the window's end. Change: pilot/keys.py (claims, repeats, relays) and pilot/visit.py beside entry.py; a lifted operation starts its age anew and stays by name, so that its next claim replaces the late one. Tests that take out a guard of the keys name their new place; what they check is unchanged.

--- a/brackengate/pilot/entry.py
+++ b/brackengate/pilot/entry.py
@@ -1,7 +1,6 @@
 """The gate's carrier: requests from other pilots, through the gate, to the upstream on this machine.
 
-Keyed requests are claimed at the core before they are passed on, so that their operation runs once whatever
-is lost. A repeat gets the first one's answer: from here, or from the gate that has it.
+Keyed requests are `keys.py`'s before they run.
 """
 
 from __future__ import annotations
@@ -9,7 +8,6 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
 from functools import partial
 from typing import Any
 
@@ -21,7 +19,7 @@
 from brackengate.net.node import Clock, Reply
 from brackengate.net.sockets import Address
 from brackengate.net.upstream import Begun, Job, Pool, Result
-from brackengate.pilot.gate import Gate, Granted, Operation, Operations, State, claim_answer
+from brackengate.pilot.gate import Gate, State
 from brackengate.pilot.hop import (
     ATTEMPT,
     DEADLINE,
@@ -30,56 +28,23 @@
     TARGET,
     UNRUN,
     Said,
-    Step,
     forwarded,
-    hop_of,
     passed_on,
     step_of,
     turned_down,
 )
-from brackengate.pilot.load import Load, Ticket
+from brackengate.pilot.keys import Keys
+from brackengate.pilot.load import Load
+from brackengate.pilot.visit import Visit
 from brackengate.pilot.wake import ID, Wake
 from brackengate.signals.door import MOST_BODY
-from brackengate.signals.words import Claim, Command, Unclaim
+from brackengate.signals.words import Command
 
 log = logging.getLogger("brackengate.gate")
 
-CLAIM_SHARE = 0.5  # of a request's time, at the most, is spent on the claim of its key
-CLAIM_S = 5.0
-UNCLAIM_S = 1.0
 SLACK_S = 0.05  # behind a request's deadline, for its upstream to say so itself
 HANGS_S = 2.0  # behind its deadline, an operation is taken for lost
-FREE = (
-    Said.AWAY,
-    Said.FULL,
-    Said.SHED,
-    Said.UNREACHED,
-    Said.UNCLAIMED,
-)  # said by the gate that had the claim
 RAN = b"%s: %s\r\n" % (HOP, Said.RAN.value)
-KEPT_BYTES = 24 << 20  # of answers to operations; one of over MAX_ANSWER is passed on, and not kept
-
-
-@dataclass(slots=True, eq=False)
-class Visit:
-    """One request at the gate, until it is answered."""
-
-    arrival: Arrival
-    connection: CallerConnection
-    step: Step
-    deadline: int
-    timer: asyncio.TimerHandle | None = None
-    job: Job | None = None
-    operation: Operation | None = None
-    ticket: Ticket | None = None
-    sink: AnswerSink | None = None  # once a long answer is passed on
-    over: bool = False  # it is answered, or its answer has begun, or nobody awaits one
-
-    @property
-    def open(self) -> bool:
-        """Whether its body is still coming."""
-        stream = self.arrival.stream
-        return stream is not None and not stream.whole
 
 
 class Entry:
@@ -105,12 +70,10 @@
         """`pool`: to the upstream alone.  `peers`: to other pilots.  `me`: this machine's name among
         gates.  `life`: of this process, like no other's: a claim of an earlier one is not ours."""
         self._loop, self._clock, self._pool, self._gate = loop, clock, pool, gate
-        self._me, self._application, self._ask = me, application, ask
-        self._peers, self._address_of = peers, address_of
+        self._application = application
         self._wake = wake or Wake()
         self.load = Load()
-        self._operations = Operations(window, KEPT_BYTES)
-        self._life, self._count = life, 0
+        self._keys = Keys(self, loop, clock, gate, me, window, ask, peers, address_of, life)
         self.visits: set[Visit] = set()
         self._running: set[Visit] = set()  # whose job the upstream has, also where nobody awaits it any more
 
@@ -128,21 +91,21 @@
         if arrival.stream is not None:
             arrival.stream.on_end = partial(self._body_ended, visit, visit.deadline - arrival.at)
         if step.keyed:
-            self._keyed(visit)
+            self._keys.comes(visit)
         else:
             why = self._gate.admits(step.instance, self._clock.now())
             if why:
-                self._say(visit, Said.AWAY, why)
-            elif not self._takes(visit):
-                self._say(visit, Said.FULL)
+                self.say(visit, Said.AWAY, why)
+            elif not self.takes(visit):
+                self.say(visit, Said.FULL)
             else:
-                self._run(visit)
+                self.run(visit)
 
     def held(self) -> int:
         """What would be lost if this process ended now."""
         return len(self.visits | self._running)
 
-    def _takes(self, visit: Visit) -> bool:
+    def takes(self, visit: Visit) -> bool:
         """Whether it would be answered in time here, as far as that can be told."""
         if self._gate.beat is not None:
             self.load.slots = max(1, self._gate.beat.capacity)
@@ -152,7 +115,7 @@
 
     # --- the upstream
 
-    def _run(self, visit: Visit) -> None:
+    def run(self, visit: Visit) -> None:
         beat = self._gate.beat
         assert beat is not None
         if log.isEnabledFor(logging.DEBUG):
@@ -170,7 +133,7 @@
             head + visit.arrival.body,
             partial(self._ran, visit),
             body=visit.arrival.stream,
-            begun=self._passes(visit, partial(passed_on, drop=(HOP, UNRUN), add=RAN)),
+            begun=self.passes(visit, partial(passed_on, drop=(HOP, UNRUN), add=RAN)),
             whole=WHOLE if visit.operation is None else MAX_ANSWER,
             call=visit.arrival.fields.get(ID, b""),
             wanted=partial(self._wanted, visit),
@@ -197,27 +160,27 @@
         self._running.discard(visit)
         operation, answer = visit.operation, result.answer
         self._unload(visit, result.outcome is Outcome.OK)
-        if self._passed(visit, result):
+        if self.passed(visit, result):
             return
         if result.outcome is Outcome.OK and answer is not None:
             reply = passed_on(answer, drop=(HOP, UNRUN), add=RAN)
             if operation is not None:
-                self._operations.keep(operation, reply, len(reply.body) + len(reply.extra))
-            self._answer(visit, reply)
+                self._keys.operations.keep(operation, reply, len(reply.body) + len(reply.extra))
+            self.answer(visit, reply)
         elif result.outcome in (Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT):
             said = Said.SHED if result.outcome is Outcome.REJECTED else Said.UNREACHED
             if operation is not None:
-                self._unclaim(visit, operation, said)
+                self._keys.unclaim(visit, operation, said)
             else:
-                self._say(visit, said)
+                self.say(visit, said)
         else:
             if operation is not None:
                 operation.state = State.LOST
             broken = result.outcome is Outcome.RESET
-            self._say(visit, Said.BROKEN if broken else Said.SPOILT)
+            self.say(visit, Said.BROKEN if broken else Said.SPOILT)
         if operation is not None:
-            self._settle(operation)
-        self._let_go(visit)
+            self._keys.settle(operation)
+        self.let_go(visit)
 
     def _unload(self, visit: Visit, ran: bool) -> None:
         if visit.ticket is not None:
@@ -240,7 +203,7 @@
             if visit.operation is not None and job is not None:
                 self._bound(job, visit)
 
-    def _passes(self, visit: Visit, made: Callable[[Answered], Reply]) -> Begun | None:
+    def passes(self, visit: Visit, made: Callable[[Answered], Reply]) -> Begun | None:
         """Who takes a long answer; none where a length is told and no body follows.  `made`: what goes back
         of its head."""
         return None if visit.arrival.method == b"HEAD" else partial(self._begun, visit, made)
@@ -256,18 +219,18 @@
         operation = visit.operation
         if operation is not None:
             operation.state = State.LOST
-            self._settle(operation)
+            self._keys.settle(operation)
         if visit.over:
             return None
         reply = made(head)
         reply.stream = stream
-        self._answer(visit, reply)
+        self.answer(visit, reply)
         visit.sink = stream.sink
         if visit.sink is not None:
             self.visits.add(visit)  # until its last byte
         return visit.sink
 
-    def _passed(self, visit: Visit, result: Result) -> bool:
+    def passed(self, visit: Visit, result: Result) -> bool:
         """Whether its answer had begun; then this is its end."""
         sink, visit.sink = visit.sink, None
         if sink is None:
@@ -276,185 +239,14 @@
         self._end(visit)
         return True
 
-    def _read_off(self, visit: Visit, reply: Reply) -> None:
-        """A repeat's body that still comes: it is let go, since whoever sends it takes no success before its
-        end."""
-        stream = visit.arrival.stream
-        assert stream is not None
-
-        def wake() -> None:
-            while stream.take() is not None:
-                pass
-            if stream.over:
-                self._answer(visit, reply)
-
-        if stream.open(wake):
-            wake()
-        else:
-            self._say(visit, Said.UNKNOWN)
-
-    def _let_go(self, visit: Visit) -> None:
+    def let_go(self, visit: Visit) -> None:
         """Nobody will read its body any more: what is held of it counts."""
         if visit.over and visit.job is None and visit.arrival.stream is not None:
             visit.arrival.stream.cut_off()
 
-    # --- keys
-
-    def _keyed(self, visit: Visit) -> None:
-        now = self._clock.now()
-        key = visit.arrival.fields.get(KEY.lower(), b"").decode("latin-1")
-        operation = self._operations.get(key, now)
-        if operation is not None:
-            self._join(visit, operation)
-            return
-        why = self._gate.admits(visit.step.instance, now)
-        if visit.step.replay:
-            self._say(visit, Said.UNKNOWN)  # of an earlier life of this process
-        elif why:
-            self._say(visit, Said.AWAY, why)
-        elif not self._takes(visit):
-            self._say(visit, Said.FULL)
-        else:
-            self._claim(self._operations.begin(key, "", now), visit)
-
-    def _claim(self, operation: Operation, visit: Visit) -> None:
-        before, self._count = operation.attempt, self._count + 1
-        operation.state, operation.attempt = State.CLAIMING, f"{self._life}.{self._count}"
-        operation.waiters.append(visit)
-        claim = Claim(operation.key, self._me, operation.attempt, before)
-        self._ask(claim, partial(self._claimed, operation), CLAIM_S)
-        wait = (visit.deadline - self._clock.now()) / 1e6 * CLAIM_SHARE
-        self._loop.call_later(wait, self._claim_late, operation, visit)
-
-    def _claim_late(self, operation: Operation, visit: Visit) -> None:
-        if operation.state is State.CLAIMING and not visit.over:
-            self._say(visit, Said.UNCLAIMED)
-
-    def _claimed(self, operation: Operation, result: Any) -> None:
-        answer = claim_answer(result)
-        log.debug("gate: claim of %r, attempt %s: %s", operation.key, operation.attempt, answer)
-        if answer is None:
-            operation.state = State.UNCLAIMED
-            for visit in self._waiting(operation):
-                self._say(visit, Said.UNCLAIMED)
-            return
-        if isinstance(answer, Granted):
-            operation.state = State.UNRUN
-        elif answer.gate == self._me:
-            operation.state = State.LOST  # claimed by an earlier life of this process
-        else:
-            operation.state, operation.holder = State.ELSEWHERE, answer.gate
-        self._settle(operation)
-
-    def _waiting(self, operation: Operation) -> list[Visit]:
-        waiters, operation.waiters = operation.waiters, []
-        visits = [visit for visit in waiters if isinstance(visit, Visit) and not visit.over]
-        return [visit for visit in visits if not visit.connection.abandoned()]
-
-    def _settle(self, operation: Operation) -> None:
-        """It has come to another state: those who wait hear of it."""
-        for visit in self._waiting(operation):
-            self._join(visit, operation)
-
-    def _join(self, visit: Visit, operation: Operation) -> None:
-        """Whatever is known of the operation, for a try of it."""
-        log.debug("gate: join of %r: %s", operation.key, operation.state.name)
-        state, now = operation.state, self._clock.now()
-        if state is State.DONE and isinstance(operation.answer, Reply):
-            reply = _again(operation.answer, visit.arrival)
-            if visit.open:
-                self._read_off(visit, reply)
-            else:
-                self._answer(visit, reply, why="the first try's answer")
-        elif state in (State.CLAIMING, State.RUNNING):
-            operation.waiters.append(visit)
-        elif state in (State.UNRUN, State.UNCLAIMED) and (
-            self._elsewhere(visit.step) or self._operations.outlived(operation, now)
-        ):
-            self._unclaim(visit, operation, Said.AWAY)
-        elif state is State.UNRUN:
-            beat = self._gate.beat
-            why = self._gate.admits(
-                visit.step.instance if not visit.step.replay or beat is None else beat.id, now
-            )
-            if why or now >= visit.deadline:
-                self._unclaim(visit, operation, Said.AWAY)
-            else:
-                operation.state = State.RUNNING
-                visit.operation = operation
-                self._run(visit)
-        elif state is State.UNCLAIMED:
-            why = "" if visit.step.replay else self._gate.admits(visit.step.instance, now)
-            if why:
-                self._say(visit, Said.AWAY, why)
-            else:
-                self._claim(operation, visit)
-        elif state is State.ELSEWHERE and not visit.step.replay:
-            self._relay(visit, operation)
-        else:
-            self._say(visit, Said.UNKNOWN)
-
-    def _elsewhere(self, step: Step) -> bool:
-        """Whether a repeat is for another service: its route has moved since the key was claimed here."""
-        beat = self._gate.beat
-        return step.replay and beat is not None and step.route not in ("-", beat.plant)
-
-    def _unclaim(self, visit: Visit, operation: Operation, said: Said) -> None:
-        """It has not run here: another gate may run it, once the claim is lifted."""
-        operation.state = State.CLAIMING  # who comes meanwhile waits
-        visit.operation = None
-
-        def lifted(result: Any) -> None:
-            operation.state = State.UNCLAIMED
-            if result is not None:
-                self._operations.drop(operation)  # nothing is left of it: the next try claims anew
-            self._say(visit, said)
-            for waiter in self._waiting(operation):
-                self._say(waiter, Said.AWAY)
-
-        self._ask(Unclaim(operation.key, self._me, operation.attempt), lifted, UNCLAIM_S)
-
-    def _relay(self, visit: Visit, operation: Operation) -> None:
-        """The gate that holds the key has the answer, or will have it."""
-        address = self._address_of(operation.holder)
-        left = max(1, (visit.deadline - self._clock.now()) // 1000)
-        service = self._gate.beat.plant if self._gate.beat is not None else "-"
-        step = Step(visit.step.instance, True, visit.step.number, replay=True, route=service)
-        head = forwarded(visit.arrival, drop=(HOP, DEADLINE))
-        head += b"%s%s: %d\r\n\r\n" % (step.lines(), DEADLINE, left)
-        name = f"gate {operation.holder}"
-        self._peers.wanted[name] = address
-
-        def done(result: Result) -> None:
-            visit.job = None
-            if self._passed(visit, result):
-                return
-            answer = result.answer
-            said = hop_of(answer.fields) if answer is not None else None
-            if answer is not None and said is Said.RAN:
-                self._answer(visit, passed_on(answer, drop=()), why=f"by the gate {operation.holder}")
-            elif said in FREE:
-                operation.state = State.UNCLAIMED  # SHED stays: an upstream was asked, which counts
-                self._say(visit, Said.SHED if said is Said.SHED else Said.AWAY)
-            elif said is not None:
-                self._say(visit, said)
-            else:  # the other gate may have begun to run this very try
-                unsent = result.outcome in (Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
-                self._say(visit, Said.UNKNOWN if unsent else Said.BROKEN)
-            self._let_go(visit)
-
-        visit.job = self._peers.start(
-            name,
-            address,
-            head + visit.arrival.body,
-            done,
-            body=visit.arrival.stream,
-            begun=self._passes(visit, partial(passed_on, drop=())),
-        )
-
     # --- answers
 
-    def _answer(self, visit: Visit, reply: Reply, said: Said = Said.RAN, why: str = "") -> None:
+    def answer(self, visit: Visit, reply: Reply, said: Said = Said.RAN, why: str = "") -> None:
         if visit.over:
             return
         self._end(visit)
@@ -464,11 +256,11 @@
         self._wake.visited(fields.get(ID, b""), at, took, step.route, step.instance, key, said, why)
         visit.connection.answer(reply)
 
-    def _say(self, visit: Visit, said: Said, why: str = "") -> None:
+    def say(self, visit: Visit, said: Said, why: str = "") -> None:
         if not visit.over:
             status = 409 if said is Said.BUSY else 503
             log.debug("gate: %s: %s %s", visit.step.instance, said.name, why)
-            self._answer(visit, turned_down(visit.arrival, status, said), said, why)
+            self.answer(visit, turned_down(visit.arrival, status, said), said, why)
 
     def _await(self, visit: Visit) -> None:
         if visit.timer is not None:
@@ -481,7 +273,7 @@
             return  # the second: its time counts from its body's end
         operation = visit.operation
         waits = operation is None and visit.step.keyed
-        self._say(visit, Said.BUSY if waits else Said.LATE)
+        self.say(visit, Said.BUSY if waits else Said.LATE)
         if visit.job is not None and operation is None:
             visit.job.give_up(Outcome.CANCELLED)
 
@@ -496,15 +288,4 @@
         if visit.timer is not None:
             visit.timer.cancel()
         self.visits.discard(visit)
-        self._let_go(visit)
-
-
-def _again(reply: Reply, arrival: Arrival) -> Reply:
-    """The first try's answer for another try: only whose answer it is differs."""
-    lines = [
-        line for line in reply.extra.split(b"\r\n") if line and not line.lower().startswith(ATTEMPT.lower())
-    ]
-    asked = arrival.fields.get(ATTEMPT.lower())
-    if asked is not None:
-        lines.append(b"%s: %s" % (ATTEMPT, asked))
-    return Reply(reply.status, reply.body, extra=b"".join(line + b"\r\n" for line in lines))
+        self.let_go(visit)
--- a/brackengate/pilot/gate.py
+++ b/brackengate/pilot/gate.py
@@ -180,6 +180,15 @@
         operation = self._held[key] = Operation(key, attempt, State.CLAIMING, now)
         return operation
 
+    def renew(self, operation: Operation, now: int) -> None:
+        """Its claim is gone at the core: what is claimed from here on is as old as that.
+
+        It stays by name, since its next claim has to replace a sending of this one that comes late.
+        """
+        if self._held.get(operation.key) is operation:
+            operation.since = now
+            self._held.move_to_end(operation.key)
+
     def keep(self, operation: Operation, answer: object, size: int) -> None:
         operation.state, operation.answer, operation.size = State.DONE, answer, size + 200
         if self._held.get(operation.key) is operation:
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -19,6 +19,7 @@
 ROOT = Path(__file__).parent.parent
 SECONDS_TO_START = 60.0
 LONG = 20 << 20
+MISDIRECTED = b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\nX-Brackengate-Attempt-Id: %s\r\n\r\n"
 
 
 @dataclass(frozen=True)
@@ -137,7 +138,7 @@
                 fields = {n.lower(): v for n, _, v in (line.partition(": ") for line in head[1:])}
                 await reader.readexactly(int(fields.get("content-length", "0")))
                 if fields.get("x-brackengate-target-instance", self.id) != self.id:
-                    writer.write(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+                    writer.write(MISDIRECTED % fields.get("x-brackengate-attempt-id", "").encode())
                     continue
                 attempt = fields.get("x-brackengate-attempt-id", "")
                 self.ran.append((attempt, fields.get("x-brackengate-operation-key", "")))
--- a/tests/emulator/test_mesh_hard.py
+++ b/tests/emulator/test_mesh_hard.py
@@ -20,7 +20,7 @@
 from brackengate.lighthouse.chain import Chain
 from brackengate.lighthouse.role import Lighthouse
 from brackengate.lighthouse.view import Agreement
-from brackengate.pilot import entry
+from brackengate.pilot import keys
 from brackengate.pilot.gate import Gate
 
 replace = msgspec.structs.replace
@@ -137,13 +137,13 @@
 
 
 def test_a_claim_of_an_earlier_life_that_is_run_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
-    claimed = entry.Entry._claimed
+    claimed = keys.Keys._claimed
 
-    def forgetful(self: entry.Entry, operation: Any, result: Any) -> None:
+    def forgetful(self: keys.Keys, operation: Any, result: Any) -> None:
         ours = result is not None and result.get("gate") == self._me
         claimed(self, operation, {"ok": True} if ours else result)
 
-    monkeypatch.setattr(entry.Entry, "_claimed", forgetful)
+    monkeypatch.setattr(keys.Keys, "_claimed", forgetful)
     assert "TWICE" in first("lost-claimant", 1, 10).rules
 
 
@@ -163,5 +163,5 @@
     route                                                moves, is acked
     gate of the new one                                          repeat of k -> relayed
     """
-    monkeypatch.setattr(entry.Entry, "_elsewhere", lambda self, step: False)
+    monkeypatch.setattr(keys.Keys, "_elsewhere", lambda self, step: False)
     assert "CONFIG" in played("moved-while-claimed.toml").rules
--- a/tests/emulator/test_mesh_lab.py
+++ b/tests/emulator/test_mesh_lab.py
@@ -22,7 +22,7 @@
 from brackengate.emulator.mesh.scenario import Fault, Limits, MeshScenario, changed, faults_of
 from brackengate.installation.reading import BadFile
 from brackengate.installation.units import Duration
-from brackengate.pilot.entry import Entry
+from brackengate.pilot.keys import Keys
 
 ROOT = Path(__file__).parent.parent.parent
 MESH = ROOT / "examples" / "lab" / "mesh"
@@ -172,13 +172,13 @@
 def test_a_search_finds_a_guard_that_is_gone_and_shrinks_the_schedule(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    claimed = Entry._claimed
+    claimed = Keys._claimed
 
-    def forgetful(self: Entry, operation: Any, result: Any) -> None:
+    def forgetful(self: Keys, operation: Any, result: Any) -> None:
         ours = result is not None and result.get("gate") == self._me
         claimed(self, operation, {"ok": True} if ours else result)
 
-    monkeypatch.setattr(Entry, "_claimed", forgetful)
+    monkeypatch.setattr(Keys, "_claimed", forgetful)
     told = small(
         fault(0.5, "stall", "tail", lasts=0.2), fault(1, "kill", "pilots"), fault(1.5, "clock", "l0")
     )
--- a/tests/pilot/mistakes.py
+++ b/tests/pilot/mistakes.py
@@ -14,7 +14,7 @@
 from brackengate.net.http import CallerConnection
 from brackengate.net.node import FAILED, Reply
 from brackengate.net.upstream import Result
-from brackengate.pilot import entry, verdict, way
+from brackengate.pilot import entry, keys, verdict, way
 from brackengate.pilot.gate import State
 from brackengate.pilot.hop import SEAL, Said, passed_on
 from brackengate.policy import retries
@@ -83,7 +83,7 @@
     )  # fmt: skip
 
 
-def _claim(self: entry.Entry, operation: Any, visit: Any) -> None:
+def _claim(self: keys.Keys, operation: Any, visit: Any) -> None:
     """Runs before the claim is granted."""
     operation.state = State.UNRUN
     self._join(visit, operation)
@@ -165,7 +165,7 @@
         lambda: patch.object(way, "_class_of", _class_of),
     ),
     "unclaimed": Mistake(
-        "a keyed call runs before its key is claimed", lambda: patch.object(entry.Entry, "_claim", _claim)
+        "a keyed call runs before its key is claimed", lambda: patch.object(keys.Keys, "_claim", _claim)
     ),
     "lifted": Mistake(
         "the claim of what may have run is lifted", lambda: patch.object(entry.Entry, "_ran", _ran)
--- a/tests/pilot/test_entry.py
+++ b/tests/pilot/test_entry.py
@@ -270,9 +270,12 @@
         world.core(OK)
         world.loop.run(61.0)
         second = world.comes("k", attempt="t2")
-        self.assertThat([type(world.core(OK)), second.said, world.own.jobs], Equals([Unclaim, "away", []]))
+        lifted = world.core(OK)
+        self.assertThat([type(lifted), second.said, world.own.jobs], Equals([Unclaim, "away", []]))
         world.comes("k", attempt="t3")
-        self.assertThat([type(world.core(OK)), len(world.own.jobs)], Equals([Claim, 1]))
+        again = world.core(OK)
+        self.assertThat([type(again), again.instead], Equals([Claim, lifted.attempt]))  # a late sending of it
+        self.assertThat(len(world.own.jobs), Equals(1))
 
     def test_what_is_kept_of_an_operation_ends_with_its_claim_also_behind_one_that_runs(self) -> None:
         held = Operations(60 * S, 1 << 20)
