--- a/brackengate/cli_lab.py
+++ b/brackengate/cli_lab.py
@@ -660,3 +660,32 @@
             "all of it was seen" if figures["exhausted"] else f"NOT all of it was seen: {figures['stopped']}"
         )
         click.echo(f"no invariant is broken; {end}")
+
+
+@lab.command("check-calls")
+@click.option("--histories", type=click.IntRange(1), default=500, show_default=True, help="How many to draw.")
+@click.option("--seed", type=click.IntRange(0), default=0, show_default=True, help="Of the first one.")
+@click.option("--json", "as_json", is_flag=True, help="Print the figures as one JSON object.")
+def check_calls(histories: int, seed: int, as_json: bool) -> None:
+    """Play histories of calls by lot over both proxies as they are (exit code 5: a promise is broken).
+
+    \b
+    Example: brackengate lab check-calls --histories 5000 --seed 100000
+    """
+    from brackengate.emulator.calls.history import drawn, smallest
+    from brackengate.emulator.calls.promises import broken
+    from brackengate.emulator.calls.simulation import play
+
+    found = next((n for n in range(seed, seed + histories) if broken(play(drawn(n)))), None)
+    figures: dict[str, Any] = {"histories": histories if found is None else found - seed + 1, "seed": found}
+    if found is not None:
+        least = smallest(drawn(found), lambda one: bool(broken(play(one))))
+        figures |= {"broken": broken(play(least)), "history": asdict(least)}
+    if as_json:
+        click.echo(json.dumps(figures))
+    elif found is None:
+        click.echo(f"{histories} histories: no promise is broken")
+    else:
+        click.echo(f"history {found}, as short as it gets: {least}")
+        click.echo("\n".join(figures["broken"]))
+    raise SystemExit(0 if found is None else BROKEN)
