--- a/brackengate/emulator/calls/machine.py
+++ b/brackengate/emulator/calls/machine.py
@@ -32,7 +32,7 @@
 from brackengate.pilot.wake import Wake
 from brackengate.pilot.way import WayOut
 from brackengate.signals.door import listener
-from brackengate.signals.words import Claim, Unclaim
+from brackengate.signals.words import Claim, CommandDone, HeldBy, Unclaim
 
 if TYPE_CHECKING:
     from brackengate.emulator.calls.simulation import Simulation
@@ -77,10 +77,10 @@
             if held is None or held == (what.gate, what.instead):
                 self._held[what.key] = mine
             elif held != mine:
-                return {"gate": held[0], "attempt": held[1]}
+                return HeldBy(held[0], held[1])
         elif held == mine:
             del self._held[what.key]
-        return {"ok": True}
+        return CommandDone()
 
 
 class Machine:
--- a/brackengate/lighthouse/role.py
+++ b/brackengate/lighthouse/role.py
@@ -28,6 +28,8 @@
     Beat,
     Changes,
     Command,
+    CopyPosition,
+    CopyRequest,
     Core,
     Follow,
     FollowerCommand,
@@ -36,14 +38,14 @@
     Line,
     Result,
     Seen,
-    Snapshot,
 )
 
 log = logging.getLogger("brackengate.lighthouse")
 
 TICK_S = 0.05
 BEAT = 150_000  # a follower hears something at least so often, give or take a tick
-SLOW = 400_000  # a disk that takes longer over a write is not fit for a seat
+SLOW = 400_000  # a disk that takes longer over a write is not healthy
+NO_COPY = CopyPosition()
 RETRY_S = 0.3  # a write that failed is tried again
 
 
@@ -54,6 +56,7 @@
     follows: bool = False
     said: int = 0
     tells: bool = False
+    copying: bool = False  # it asks for one piece of a copy after the other; changes come after the last one
 
 
 class Lighthouse:
@@ -107,7 +110,7 @@
             self.me,
             view.epoch,
             chain.index,
-            len(chain.rows),
+            chain.state.rows.count,
         )
         self._carry_out(self.replica.start(now))
         self._tick()
@@ -161,8 +164,10 @@
                 if done is not None:
                     done(action.result)
             elif isinstance(action, Publish):
+                self._part_unless_current()
                 self._publish(action)
             elif isinstance(action, Restart):
+                self._part_unless_current()
                 for follower in self._followers.values():
                     if follower.follows:
                         self._catch_up(follower)
@@ -195,7 +200,7 @@
             return
         if error is not None:
             if not self._failed:
-                log.error("store: step write: %s; the member is given up until it succeeds", error)
+                log.error("store: step write: %s; no member until it succeeds", error)
             self._failed = True
             self._queue = batch + self._queue
             self._loop.call_later(RETRY_S, self._write)
@@ -251,11 +256,15 @@
     def _from_pilot(self, follower: Follower, word: Line) -> None:
         if isinstance(word, Follow):
             follower.index, follower.follows, follower.tells = word.index, True, word.tells
+            follower.copying = False
             if self.replica.serves(self.now()):
                 self._say(follower, self._core_line())
-                self._catch_up(follower, even_none=True)
+                self._catch_up(follower, word.copy, even_none=True)
             else:
-                self._say(follower, Away())
+                self._send_away(follower)
+        elif isinstance(word, CopyRequest):
+            if follower.follows:
+                self._send_piece(follower, word)
         elif isinstance(word, FollowerCommand):
 
             def done(result: Any) -> None:
@@ -266,11 +275,18 @@
         elif isinstance(word, Seen):
             self._watchroom.seen(follower.lines, word)
 
-    def ask(self, what: Command, done: Callable[[Any], None]) -> None:
-        """`done` gets the result once; None: it is not known what becomes of it."""
+    def ask(self, what: Command, done: Callable[[Any], None]) -> int:
+        """`done` gets the result once; None: it is not known what becomes of it.  A number to withdraw it."""
         self._last_ask += 1
-        self._pending[self._last_ask] = done
-        self._carry_out(self.replica.ask(what, self._last_ask, self.now()))
+        number = self._last_ask
+        self._pending[number] = done
+        self._carry_out(self.replica.ask(what, number, self.now()))
+        return number
+
+    def withdraw(self, number: int) -> None:
+        """Whoever asked has gone."""
+        if self._pending.pop(number, None) is not None:
+            self.replica.withdraw(number)
 
     # --- followers
 
@@ -281,31 +297,59 @@
         follower.said = self.now()
         follower.lines.send(word)
 
-    def _catch_up(self, follower: Follower, even_none: bool = False) -> None:
-        whole, index, rows = self.replica.chain.since(follower.index)
-        if whole:
-            self._say(follower, Snapshot(index, rows))
-        elif rows or even_none:
+    def _catch_up(self, follower: Follower, copy: CopyPosition = NO_COPY, even_none: bool = False) -> None:
+        """`copy`: how far a copy is that it has begun."""
+        news = self.replica.chain.changes_since(follower.index)
+        if news is None:
+            if not follower.copying:
+                self._send_piece(follower, CopyRequest(0, copy))
+            return
+        follower.copying = False
+        index, rows = news
+        if rows or even_none:
             self._say(follower, Changes(index, rows))
         follower.index = max(follower.index, index)
 
+    def _send_piece(self, follower: Follower, request: CopyRequest) -> None:
+        piece = self.replica.chain.public_piece(request) if self.replica.serves(self.now()) else None
+        if piece is None:
+            follower.follows = follower.copying = False
+            self._say(follower, Away())
+            return
+        follower.copying = piece.total is None
+        if piece.total is not None:
+            follower.index = max(follower.index, piece.position.index)
+        self._say(follower, piece)
+
     def _publish(self, news: Publish) -> None:
         data, now = encoded(Changes(news.index, news.rows)), self.now()
         for follower in self._followers.values():
-            if follower.follows and follower.index < news.index:
+            if follower.follows and not follower.copying and follower.index < news.index:
                 follower.index, follower.said = news.index, now
                 follower.lines.send_raw(data)
 
+    def _send_away(self, follower: Follower) -> None:
+        """It may know of nobody but this side of a cut: it is told whom else to try."""
+        follower.follows = False
+        core = self._core_line()
+        if core.members:
+            self._say(follower, Core(core.members, touch=False))
+        self._say(follower, Away())
+
+    def _part_unless_current(self) -> None:
+        """Guards what is sent between two ticks: words of an old view may be read before the first tick."""
+        if not self.replica.serves(self.now()):
+            for follower in list(self._followers.values()):
+                if follower.follows:
+                    self._send_away(follower)
+
     def _keep_followers(self, now: int) -> None:
-        serves = self.replica.serves(now)
+        self._part_unless_current()
         core = self._core_line()
         for follower in list(self._followers.values()):
             if not follower.follows:
                 continue
-            if not serves:
-                follower.follows = False
-                self._say(follower, Away())
-            elif core != self._core:
+            if core != self._core:
                 self._say(follower, core)
             elif now - follower.said >= BEAT:
                 self._say(follower, Beat())
--- a/brackengate/pilot/keys.py
+++ b/brackengate/pilot/keys.py
@@ -17,10 +17,10 @@
 from brackengate.net.node import Clock, Reply
 from brackengate.net.sockets import Address
 from brackengate.net.upstream import Pool, Result
-from brackengate.pilot.gate import Gate, Granted, Operation, Operations, State, claim_answer
+from brackengate.pilot.gate import Gate, Operation, Operations, State
 from brackengate.pilot.hop import ATTEMPT, DEADLINE, HOP, KEY, Said, Step, forwarded, hop_of, passed_on
 from brackengate.pilot.visit import Host, Visit
-from brackengate.signals.words import Claim, Command, Unclaim
+from brackengate.signals.words import Claim, Command, CommandDone, HeldBy, Unclaim
 
 log = logging.getLogger("brackengate.gate")
 
@@ -90,19 +90,19 @@
             self._host.say(visit, Said.UNCLAIMED)
 
     def _claimed(self, operation: Operation, result: Any) -> None:
-        answer = claim_answer(result)
-        log.debug("gate: claim of %r, attempt %s: %s", operation.key, operation.attempt, answer)
-        if answer is None:
-            operation.state = State.UNCLAIMED
-            for visit in self._waiting(operation):
-                self._host.say(visit, Said.UNCLAIMED)
-            return
-        if isinstance(answer, Granted):
-            operation.state = State.UNRUN
-        elif answer.gate == self._me:
-            operation.state = State.LOST  # claimed by an earlier life of this process
-        else:
-            operation.state, operation.holder = State.ELSEWHERE, answer.gate
+        log.debug("gate: claim of %r, attempt %s: %s", operation.key, operation.attempt, result)
+        match result:
+            case CommandDone():
+                operation.state = State.UNRUN
+            case HeldBy(owner) if owner == self._me:
+                operation.state = State.LOST  # claimed by an earlier life of this process
+            case HeldBy(owner):
+                operation.state, operation.holder = State.ELSEWHERE, owner
+            case _:  # no word in time, or none on the claim: it may stand
+                operation.state = State.UNCLAIMED
+                for visit in self._waiting(operation):
+                    self._host.say(visit, Said.UNCLAIMED)
+                return
         self.settle(operation)
 
     def _waiting(self, operation: Operation) -> list[Visit]:
--- a/brackengate/signals/words.py
+++ b/brackengate/signals/words.py
@@ -20,7 +20,7 @@
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
-    """A member of a view.  `inc`: the life of its disk; `since`: the epoch in which it took its seat."""
+    """A member of a view.  `incarnation`: of its disk; `since`: the epoch in which it became one."""
 
     addr: str
     incarnation: str
@@ -48,6 +48,29 @@
     rows: tuple[Row, ...]
 
 
+class CommittedRow(msgspec.Struct, frozen=True, array_like=True):
+    """A committed row, with the log index of the entry that it comes from."""
+
+    kind: str
+    name: str
+    index: int
+    value: Any
+
+
+class CopyPosition(msgspec.Struct, frozen=True, array_like=True):
+    """How far a copy is: it holds the rows of all buckets below `bucket` as they stood at `index`."""
+
+    bucket: int = 0
+    index: int = 0
+
+
+class CopyTotal(msgspec.Struct, frozen=True, array_like=True):
+    """What a complete copy holds: a copy that differs from it does not count."""
+
+    count: int
+    checksum: int
+
+
 Ballot = tuple[int, str]
 
 
@@ -102,6 +125,47 @@
 Command = Amend | Read | Claim | Unclaim | Report | Suspect
 
 
+# --- what becomes of a command
+
+
+class CommandDone(msgspec.Struct, tag_field="t", tag="ok", frozen=True):
+    """It holds: agreed, whether it changed anything or was so already."""
+
+
+class HeldBy(msgspec.Struct, tag_field="t", tag="held_by", frozen=True):
+    """A claim: another one holds the key."""
+
+    owner: str  # the pilot
+    attempt: str
+
+
+class InvalidOrder(msgspec.Struct, tag_field="t", tag="invalid", frozen=True):
+    """An order of the operator that must not be in force, in any part."""
+
+    reason: str
+
+
+class ConflictingOrder(msgspec.Struct, tag_field="t", tag="conflict", frozen=True):
+    """Another order was acknowledged with other content under the same version; no part is in force."""
+
+    reason: str
+
+
+class UndecidedOrder(msgspec.Struct, tag_field="t", tag="undecided", frozen=True):
+    """Whether it was acknowledged before is no longer known; no part is in force by it now."""
+
+    reason: str
+
+
+class Configuration(msgspec.Struct, tag_field="t", tag="configuration", frozen=True):
+    """All items that stand, as the operator's first call lays them out."""
+
+    content: dict[str, Any]
+
+
+CommandResult = CommandDone | HeldBy | InvalidOrder | ConflictingOrder | UndecidedOrder | Configuration
+
+
 # --- among lighthouses
 
 
@@ -117,11 +181,11 @@
     epoch: int
     index: int = 0  # stored
     caught_up_epoch: int = 0  # the epoch in which it has caught up with the one before it
-    joining: bool = False  # it holds no seat, and is fit for one
+    joining: bool = False  # it is no member, and wants to be one
     disk_healthy: bool = True  # its disk takes what it is given
     zone: str = ""
     hears: tuple[str, ...] = ()
-    leaves: bool = False  # it was told to give up its seat
+    leaves: bool = False  # it was told to leave
     sent: int = 0  # the sender's steady clock when it sent this; the pong brings it back
     copied: int = -1  # a learner's complete copy reaches to this index of the log; -1: it is not complete
 
@@ -130,6 +194,7 @@
     epoch: int
     sent: int = 0  # of the ping that this answers: a lease runs from its sending
     closed: bool = False  # the sender has promised to store nothing more in this epoch
+    incarnation: str = ""  # of the process that answers
 
 
 class WantView(Word, frozen=True, tag="view?"):
@@ -148,12 +213,12 @@
 
 
 class Promise(Word, frozen=True, tag="prom"):
-    """The sender has sealed the epoch before this one: it stores nothing more in it."""
+    """The sender has closed the epoch before this one: it stores nothing more in it."""
 
     epoch: int
     ballot: Ballot
-    index: int
-    has_snapshot: bool  # it holds all that its seat owes
+    index: int  # stored
+    has_snapshot: bool  # it holds all that its membership owes
     taken_at: Ballot | None = None
     taken: View | None = None
 
@@ -175,24 +240,19 @@
 
 
 class Position(Word, frozen=True, tag="have"):
-    """To the one before in the chain: send what follows this index; -1: everything."""
+    """To the one before in the chain: send what follows this index."""
 
     epoch: int
     index: int
 
 
 class Append(Word, frozen=True, tag="fwd"):
+    """The entries that follow an index, each as it was made."""
+
     epoch: int
     after: int
     entries: tuple[Entry, ...]
-
-
-class ChainSnapshot(Word, frozen=True, tag="whole"):
-    """A snapshot for a member that takes its seat: it forgets what it held."""
-
-    epoch: int
-    index: int
-    rows: tuple[tuple[str, str, int, Any], ...]  # with the place of each
+    until: int = 0  # what the sender has stored: a new member holds all that it owes from there on
 
 
 class Ack(Word, frozen=True, tag="ack"):
@@ -203,25 +263,58 @@
 
 
 class Submit(Word, frozen=True, tag="do"):
-    """To the head: an ask that came to another member."""
+    """To the head: a command that came to another replica.
+
+    `epoch`: of the view in which it was submitted.  One that lay in a queue until the view was another one
+    is not taken: its sender has submitted it anew, or has told its caller nothing and been told to stop.
+    """
 
     id: int
     what: Command
+    epoch: int = 0
 
 
 class Result(Word, frozen=True, tag="done"):
+    """`result` None: it is not known what becomes of the command."""
+
+    id: int
+    result: CommandResult | InquiryResult | None
+
+
+# --- copies: of a replica for a learner, of the public rows for a follower
+
+
+class CopyRequest(Word, frozen=True, tag="copy?"):
+    """Send the next piece of the copy.  Asked for once the piece before it is stored."""
+
+    id: int  # comes back with the piece; one that answers no open request is left alone
+    position: CopyPosition
+
+
+class CopyPiece(Word, frozen=True, tag="copy"):
+    """The entries that bring what is held to a later index, then the rows that come next.
+
+    `anew`: the entries after the position's index are gone, so that the copy begins at its first row.
+    `total`: with this piece the copy is complete.
+    """
+
     id: int
-    result: Any
+    position: CopyPosition  # with this piece taken
+    anew: bool = False
+    entries: tuple[Entry, ...] = ()
+    rows: tuple[CommittedRow, ...] = ()
+    total: CopyTotal | None = None
 
 
 # --- between a pilot and a lighthouse
 
 
 class Follow(Word, frozen=True, tag="follow"):
-    """Send the changes from this index on; a snapshot first where they are not at hand."""
+    """Send the changes from this index on; a copy of the public rows first where they are not at hand."""
 
     index: int
     tells: bool = False  # it answers `Look`
+    copy: CopyPosition = CopyPosition()  # of a copy that was cut off
 
 
 class FollowerCommand(Word, frozen=True, tag="ask"):
@@ -229,11 +322,6 @@
     what: Command
 
 
-class Snapshot(Word, frozen=True, tag="snap"):
-    index: int
-    rows: tuple[Row, ...]
-
-
 class Changes(Word, frozen=True, tag="chg"):
     index: int
     rows: tuple[Row, ...] = ()
@@ -279,9 +367,9 @@
 
 
 class Leave(msgspec.Struct, tag_field="t", tag="leave", frozen=True):
-    """Give up your seat, and take none until told or started again.
+    """Leave the view, and be no member until told or started again.
 
-    `replaced`: only where another lighthouse waits for a seat, or enough stay to lose `Tolerance.Machines`
+    `replaced`: only where another replica waits to be admitted, or enough stay to lose `Tolerance.Machines`
     more.
     """
 
@@ -289,7 +377,7 @@
 
 
 class Rejoin(msgspec.Struct, tag_field="t", tag="rejoin", frozen=True):
-    """Take a seat again."""
+    """Be a member again."""
 
 
 class Explain(msgspec.Struct, tag_field="t", tag="explain", frozen=True):
@@ -318,13 +406,13 @@
     | Outvoted
     | Position
     | Append
-    | ChainSnapshot
+    | CopyRequest
+    | CopyPiece
     | Ack
     | Submit
     | Result
     | Follow
     | FollowerCommand
-    | Snapshot
     | Changes
     | Core
     | Beat
@@ -361,6 +449,12 @@
     leaves: bool = False
 
 
+class SeatAnswer(msgspec.Struct, tag_field="t", tag="seat", frozen=True, omit_defaults=True):
+    """To `Leave` and `Rejoin`.  `refused`: why it does not; empty: it does."""
+
+    refused: str = ""
+
+
 class Follows(msgspec.Struct, frozen=True, omit_defaults=True):
     """A pilot that follows this lighthouse."""
 
@@ -370,7 +464,13 @@
     wake: tuple[dict[str, Any], ...] = ()  # what it decided of the attempt that was asked for
 
 
-class Standing(msgspec.Struct, frozen=True, omit_defaults=True):
+class Followers(msgspec.Struct, tag_field="t", tag="followers", frozen=True):
+    """To `Explain`: the pilots that follow, each with what it decided."""
+
+    pilots: tuple[Follows, ...]
+
+
+class Standing(msgspec.Struct, tag_field="t", tag="standing", frozen=True, omit_defaults=True):
     """One lighthouse, by its own word.  Places are of the log; -1: none is known."""
 
     addr: str
@@ -409,8 +509,11 @@
     body: dict[str, Any] | None = None
 
 
-class Items(msgspec.Struct, frozen=True):
+class Items(msgspec.Struct, tag_field="t", tag="items", frozen=True):
     serves: bool
     commit_index: int
     epoch: int
     items: tuple[HeldItem, ...]
+
+
+InquiryResult = SeatAnswer | Followers | Standing | Items
--- a/brackengate/soundings/chart.py
+++ b/brackengate/soundings/chart.py
@@ -12,7 +12,13 @@
     Accepted,
     Ack,
     Append,
-    ChainSnapshot,
+    CommandResult,
+    Configuration,
+    ConflictingOrder,
+    CopyPiece,
+    CopyRequest,
+    HeldBy,
+    InvalidOrder,
     Line,
     NewView,
     Outvoted,
@@ -22,6 +28,7 @@
     Promise,
     Result,
     Submit,
+    UndecidedOrder,
     View,
     WantView,
 )
@@ -111,11 +118,15 @@
 
 
 def _result(result: bytes) -> str:
-    told: Any = msgspec.json.decode(result)
-    if "gate" in told:
-        return f"refused, {told['gate']} holds it"
-    if "Plants" in told:
-        return " ".join(one["Revision"] for one in told["Plants"]) or "nothing"
+    match msgspec.json.decode(result, type=CommandResult | None):
+        case HeldBy(owner):
+            return f"refused, {owner} holds it"
+        case Configuration(content):
+            return " ".join(one["Revision"] for one in content["Plants"]) or "nothing"
+        case InvalidOrder(reason) | ConflictingOrder(reason) | UndecidedOrder(reason):
+            return f"refused, {reason}"
+        case None:
+            return "not known"
     return "ok"
 
 
@@ -144,8 +155,10 @@
             return f"view {epoch}: has {index if index >= 0 else 'nothing'}"
         case Append(epoch, after, entries):
             return f"view {epoch}: after {after}: {' '.join(str(e.index) for e in entries) or 'nothing'}"
-        case ChainSnapshot(epoch, index):
-            return f"view {epoch}: all up to {index}"
+        case CopyRequest(_, position):
+            return f"copy: what follows bucket {position.bucket} at {position.index}?"
+        case CopyPiece(_, position):
+            return f"copy: up to bucket {position.bucket} at {position.index}"
         case Ack(epoch, index):
             return f"view {epoch}: stored {index}"
         case Submit(_, what):
