--- a/brackengate/bridge/commands.py
+++ b/brackengate/bridge/commands.py
@@ -100,7 +100,7 @@
 
     async def use(bridge: Bridge) -> int:
         standings, failed = await bridge.standings()
-        names = {bridge.address(seat.addr): seat.addr for one in standings for seat in one.seats}
+        names = {bridge.address(seat.addr): seat.addr for one in standings for seat in one.members}
         lost = [(names.get(e.peer, f"{e.peer[0]}:{e.peer[1]}"), e.why) for e in failed]
         view = figures.newest(standings)
         parts = {
@@ -110,15 +110,17 @@
         }
         unseen, spare = figures.unseen(standings), figures.spare(standings)
         if as_json:
-            seats = [seat.addr for seat in view.seats]
-            row = {"view": view.epoch, "chain": seats, "needs": view.enough, "spare": spare}
+            seats = [seat.addr for seat in view.members]
+            row = {"view": view.epoch, "chain": seats, "needs": view.min_replicas, "spare": spare}
             _line("view", {**row, "unseen": unseen})
             for kind, rows in parts.items():
                 for row in rows:
                     _line(kind, row)
         else:
             loss = f"{spare} may be lost" if spare >= 0 else f"NO WRITES: {-spare} too few"
-            click.echo(f"view {view.epoch}: {len(view.seats)} members, a write needs {view.enough}; {loss}")
+            click.echo(
+                f"view {view.epoch}: {len(view.members)} members, a write needs {view.min_replicas}; {loss}"
+            )
             for kind, columns in COLUMNS.items():
                 if parts[kind]:
                     click.echo("\n" + figures.table(parts[kind], columns.split()))
@@ -205,6 +207,7 @@
 async def _bring_in(bridge: Bridge, call: bytes, wait: float, as_json: bool) -> int:
     """Check a call, send it, and wait for the pilots."""
     from brackengate.bridge.changes import compare, effective, items_of, sound
+    from brackengate.signals.words import CommandDone
 
     changes = compare(call, items_of((await bridge.items()).items))
     if not changes:
@@ -215,8 +218,8 @@
         click.echo("brackengate: step check: nothing was sent", err=True)
         return BAD
     answer = await bridge.amend(call)
-    if "invalid" in answer:  # the configuration has changed since it was looked at
-        click.echo(f"brackengate: step amend: {answer['invalid']}", err=True)
+    if not isinstance(answer, CommandDone):  # the configuration has changed since it was looked at
+        click.echo(f"brackengate: step amend: {getattr(answer, 'reason', answer)}", err=True)
         return REFUSED
     news = effective(changes)
     click.echo(f"agreed: {len(news)} of {len(changes)} items have effect", err=as_json)
@@ -224,8 +227,6 @@
 
 
 async def _until_pilots_have(bridge: Bridge, changes: Sequence[Change], wait: float, as_json: bool) -> int:
-    import msgspec
-
     from brackengate.bridge import figures
     from brackengate.signals.words import Held, Items
 
@@ -236,7 +237,7 @@
             standings, _ = await bridge.standings()
             if place is None:
                 told = await bridge.of_members(Held(), [one.addr for one in standings])
-                place = figures.place_of(names, [msgspec.convert(one, Items) for one in told])
+                place = figures.place_of(names, [one for one in told if isinstance(one, Items)])
             if place is not None:
                 late = figures.behind(standings, place)
                 count = sum(len(one.pilots) for one in standings)
@@ -289,6 +290,7 @@
     """Tell a member to leave or to come back, and wait for the view that says so."""
     from brackengate.bridge import figures
     from brackengate.bridge.ask import Unanswered, ask
+    from brackengate.signals.words import SeatAnswer
 
     standings, _ = await bridge.standings()
     member = _member(standings, name)
@@ -296,15 +298,16 @@
         answer = await ask(bridge.address(member.addr), what)
     except Unanswered as error:
         raise ExceptionGroup("a member did not answer", [error]) from None
-    if "refused" in answer:
-        click.echo(f"brackengate: step {type(what).__name__.lower()}: {answer['refused']}", err=True)
+    assert isinstance(answer, SeatAnswer)
+    if answer.refused:
+        click.echo(f"brackengate: step {type(what).__name__.lower()}: {answer.refused}", err=True)
         return REFUSED
     until = time.monotonic() + wait
     while True:
         with contextlib.suppress(ExceptionGroup):
             standings, _ = await bridge.standings()
             view = figures.newest([one for one in standings if one.addr != member.addr] or standings)
-            if any(seat.addr == member.addr for seat in view.seats) is seated:
+            if any(seat.addr == member.addr for seat in view.members) is seated:
                 break
         if time.monotonic() >= until:
             click.echo(
@@ -314,9 +317,9 @@
             )
             return INCOMPLETE
         await asyncio.sleep(LOOK_S)
-    click.echo(f"view {view.epoch}: {' '.join(seat.addr for seat in view.seats)}")
+    click.echo(f"view {view.epoch}: {' '.join(seat.addr for seat in view.members)}")
     spare = figures.spare(standings)
-    if not seated and spare < view.enough - 1:
+    if not seated and spare < view.min_replicas - 1:
         click.echo(f"brackengate: {max(0, spare)} more may be lost before writes wait", err=True)
     return 0
 
@@ -397,7 +400,7 @@
                 _line("hop", {"pilot": pilot, **hop})
             else:
                 click.echo(hops.text(pilot, hop))
-        silent = sorted(one.addr for one in pilots if one.place is None)
+        silent = sorted(one.addr for one in pilots if one.index is None)
         if silent:
             click.echo(f"brackengate: step explain: no word from pilots {' '.join(silent)}", err=True)
         if not found:
@@ -435,7 +438,7 @@
         except OSError as error:
             part.unlink(missing_ok=True)
             fail(f"step write, file {file}: {error.strerror}", BAD)
-        click.echo(f"{file}: {len(held.items)} items at place {held.agreed}")
+        click.echo(f"{file}: {len(held.items)} items at place {held.commit_index}")
         return 0
 
     _run(at, use)
--- a/brackengate/lighthouse/control.py
+++ b/brackengate/lighthouse/control.py
@@ -4,14 +4,25 @@
 
 import logging
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Protocol
 
 import msgspec
 
 from brackengate.http.message import Arrival, Bad
 from brackengate.net.http import CallerConnection
 from brackengate.signals.door import MOST_BODY, collect, rpc
-from brackengate.signals.words import Amend, Ask, Read
+from brackengate.signals.words import (
+    Amend,
+    Command,
+    CommandDone,
+    CommandResult,
+    Configuration,
+    ConflictingOrder,
+    HeldBy,
+    InvalidOrder,
+    Read,
+    UndecidedOrder,
+)
 
 log = logging.getLogger("brackengate.control")
 
@@ -19,7 +30,9 @@
 
 
 class Asks(Protocol):
-    def ask(self, what: Ask, done: Callable[[Any], None]) -> None: ...
+    def ask(self, what: Command, done: Callable[[CommandResult | None], None]) -> int: ...
+
+    def withdraw(self, number: int) -> None: ...
 
 
 class Control:
@@ -34,8 +47,7 @@
             connection.hold(lambda: None)
             collect(arrival, lambda body: self._amend(body, connection))
         elif call == "config.read":
-            connection.hold(lambda: None)
-            self._asks.ask(Read(), lambda result: self._answer(connection, "config.read", result))
+            self._ask(Read(), connection, call)
         else:
             raise Bad(404, "no such call")
 
@@ -43,16 +55,38 @@
         try:
             text = body.decode()
         except UnicodeDecodeError:
-            connection.respond(400, b'{"Error":"not UTF-8"}', JSON)
+            connection.respond(400, _error("not UTF-8"), JSON)
             return
-        self._asks.ask(Amend(text), lambda result: self._answer(connection, "config.amend", result))
-
-    def _answer(self, connection: CallerConnection, call: str, result: Any) -> None:
-        if result is None:
-            log.warning("control: %s: no word from the chain in time", call)
-            connection.respond(503, b'{"Error":"the core did not agree in time"}', JSON)
-        elif "invalid" in result:
-            log.info("control: %s: turned down: %s", call, result["invalid"])
-            connection.respond(400, msgspec.json.encode({"Error": result["invalid"]}), JSON)
-        else:
-            connection.respond(200, msgspec.json.encode(result) if call == "config.read" else b"{}", JSON)
+        self._ask(Amend(text), connection, "config.amend")
+
+    def _ask(self, what: Command, connection: CallerConnection, call: str) -> None:
+        """A caller that goes may be refused elsewhere: it is not pursued for it any more."""
+        number = self._asks.ask(what, lambda result: self._answer(connection, call, result))
+        connection.hold(lambda: self._asks.withdraw(number))
+
+    def _answer(self, connection: CallerConnection, call: str, result: CommandResult | None) -> None:
+        status, body = answer_to(result)
+        if status != 200:
+            log.info("control: %s: %d: %s", call, status, body.decode(errors="replace"))
+        connection.respond(status, body, JSON)
+
+
+def answer_to(result: CommandResult | None) -> tuple[int, bytes]:
+    """Status and body.  A 400 or 409 ends the operator's call; after a 503 it is sent again."""
+    match result:
+        case Configuration(content):
+            return 200, msgspec.json.encode(content)
+        case InvalidOrder(reason):
+            return 400, _error(reason)
+        case ConflictingOrder(reason):
+            return 409, _error(reason)
+        case UndecidedOrder(reason):
+            return 503, _error(reason)
+        case None | HeldBy():
+            return 503, _error("the core did not agree in time")
+        case CommandDone():
+            return 200, b"{}"
+
+
+def _error(reason: str) -> bytes:
+    return msgspec.json.encode({"Error": reason})
--- a/tests/bridge/test_bridge_pure.py
+++ b/tests/bridge/test_bridge_pure.py
@@ -12,10 +12,20 @@
 from brackengate.bridge import archive, figures, hops
 from brackengate.bridge.changes import as_call, compare, items_of, sound
 from brackengate.interface import Outcome, Request
+from brackengate.lighthouse.orders import History, decide
 from brackengate.pilot.hop import Said
 from brackengate.pilot.wake import MOST_OPEN, Wake
-from brackengate.signals.items import effect, read_call
-from brackengate.signals.words import Follows, HeldItem, Instance, Items, Neighbour, Seat, Standing
+from brackengate.signals.items import read_call
+from brackengate.signals.words import (
+    CommandDone,
+    Follows,
+    HeldItem,
+    Instance,
+    Items,
+    Member,
+    Neighbour,
+    Standing,
+)
 
 
 def route(name: str, version: int, prefix: str = "", plant: str = "p") -> dict[str, Any]:
@@ -65,6 +75,15 @@
         for damaged in (b"\xff", b"[1]", b'{"Apply":{"Plants":7}}', b'{"Apply":{"Hosts":[7]}}'):
             self.assertThat([one.what for one in compare(damaged, {})], Equals(["invalid"]), repr(damaged))
 
+    def test_other_contents_under_a_held_version_are_a_fault_of_the_call(self) -> None:
+        other = {**route("a", 3), "Cutoff": "2s"}
+        for body in (call(other), call(remove=[{"Name": "a", "Revision": "r3"}])):
+            found = compare(body, items_of(HELD))
+            self.assertThat(
+                [(one.kind, one.what) for one in found], Equals([("route", "no effect"), ("call", "invalid")])
+            )
+            self.assertThat(found[-1].why, Equals("acknowledged with other content before: route 'a' r3"))
+
     def test_what_show_prints_can_be_applied(self) -> None:
         layout = b'{"Plants":[{"Name":"q","Revision":"r1"}],"Hosts":[]}'
         self.assertThat([one.name for one in compare(as_call(layout), {})], Equals(["q"]))
@@ -75,9 +94,11 @@
 class Backups(TestCase):
     def test_an_empty_mesh_gets_all_of_it_and_a_newer_one_keeps_its_own(self) -> None:
         body = archive.call_of(archive.unpack(archive.pack(ITEMS, "now")))
-        self.assertThat(effect(read_call(body), {}), Equals(items_of(HELD)))
+        first = decide(read_call(body), {}, lambda _: History())
+        self.assertThat((first.result, first.items), Equals((CommandDone(), items_of(HELD))))
         newer = items_of([*HELD[:1], HeldItem("route", "a", 9, 8), *HELD[2:]])
-        self.assertThat(effect(read_call(body), newer), Equals({}))
+        again = decide(read_call(body), newer, lambda _: History())
+        self.assertThat((again.result, again.items), Equals((CommandDone(), {})))
 
     def test_a_damaged_or_newer_file_is_turned_down(self) -> None:
         whole = archive.pack(ITEMS, "now")
@@ -90,11 +111,27 @@
         self.assertThat(archive.unpack(whole).place, Equals(7))
 
 
-def standing(addr: str, agreed: int, seats: str = "ABC", **more: Any) -> Standing:
-    view = tuple(Seat(one, "first", 1) for one in seats)
+def standing(addr: str, commit_index: int, seats: str = "ABC", **more: Any) -> Standing:
+    view = tuple(Member(one, "first", 1) for one in seats)
     epoch = more.pop("epoch", 4)
-    given: dict[str, Any] = {"seated": addr in seats, "whole": True, "serves": True, "public": agreed}
-    return Standing(addr, "first", f"z{addr}", epoch, view, 2, agreed, agreed, agreed, **{**given, **more})
+    given: dict[str, Any] = {
+        "is_member": addr in seats,
+        "has_snapshot": True,
+        "serves": True,
+        "public": commit_index,
+    }
+    return Standing(
+        addr,
+        "first",
+        f"z{addr}",
+        epoch,
+        view,
+        2,
+        commit_index,
+        commit_index,
+        commit_index,
+        **{**given, **more},
+    )
 
 
 class Figures(TestCase):
@@ -125,7 +162,7 @@
             for seats in ("AB", "ABC", "ABCD", "ABCDE", "A")
         ]
         self.assertThat(spare, Equals([0, 1, 1, 2, -1]))
-        unfit = [standing("A", 1), standing("B", 1, fit=False)]  # and C does not answer
+        unfit = [standing("A", 1), standing("B", 1, disk_healthy=False)]  # and C does not answer
         self.assertThat(figures.spare(unfit), Equals(-1))
 
     def test_a_pilot_that_does_not_say_how_far_it_is_counts_as_late(self) -> None:
@@ -140,7 +177,7 @@
         self.assertThat(figures.unseen(told[1:]), Equals(["p4"]))
 
     def test_the_earliest_place_of_an_item_counts(self) -> None:
-        late = Items(True, 9, 2, tuple(msgspec.structs.replace(one, place=9) for one in HELD))
+        late = Items(True, 9, 2, tuple(msgspec.structs.replace(one, index=9) for one in HELD))
         names = [(("plant", "p"), 3), (("route", "a"), 3)]
         self.assertThat(figures.place_of(names, [late, ITEMS]), Equals(2))
         self.assertThat(figures.place_of([*names, (("route", "b"), 10)], [late, ITEMS]), Equals(None))
