--- a/brackengate/signals/words.py
+++ b/brackengate/signals/words.py
@@ -20,7 +20,7 @@
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
-    """A member of a view.  `inc`: the life of its disk; `since`: the epoch in which it took its seat."""
+    """A member of a view.  `incarnation`: of its disk; `since`: the epoch in which it became one."""
 
     addr: str
     incarnation: str
@@ -48,6 +48,29 @@
     rows: tuple[Row, ...]
 
 
+class CommittedRow(msgspec.Struct, frozen=True, array_like=True):
+    """A committed row, with the log index of the entry that it comes from."""
+
+    kind: str
+    name: str
+    index: int
+    value: Any
+
+
+class CopyPosition(msgspec.Struct, frozen=True, array_like=True):
+    """How far a copy is: it holds the rows of all buckets below `bucket` as they stood at `index`."""
+
+    bucket: int = 0
+    index: int = 0
+
+
+class CopyTotal(msgspec.Struct, frozen=True, array_like=True):
+    """What a complete copy holds: a copy that differs from it does not count."""
+
+    count: int
+    checksum: int
+
+
 Ballot = tuple[int, str]
 
 
@@ -158,11 +181,11 @@
     epoch: int
     index: int = 0  # stored
     caught_up_epoch: int = 0  # the epoch in which it has caught up with the one before it
-    joining: bool = False  # it holds no seat, and is fit for one
+    joining: bool = False  # it is no member, and wants to be one
     disk_healthy: bool = True  # its disk takes what it is given
     zone: str = ""
     hears: tuple[str, ...] = ()
-    leaves: bool = False  # it was told to give up its seat
+    leaves: bool = False  # it was told to leave
     sent: int = 0  # the sender's steady clock when it sent this; the pong brings it back
     copied: int = -1  # a learner's complete copy reaches to this index of the log; -1: it is not complete
 
@@ -171,6 +194,7 @@
     epoch: int
     sent: int = 0  # of the ping that this answers: a lease runs from its sending
     closed: bool = False  # the sender has promised to store nothing more in this epoch
+    incarnation: str = ""  # of the process that answers
 
 
 class WantView(Word, frozen=True, tag="view?"):
@@ -189,12 +213,12 @@
 
 
 class Promise(Word, frozen=True, tag="prom"):
-    """The sender has sealed the epoch before this one: it stores nothing more in it."""
+    """The sender has closed the epoch before this one: it stores nothing more in it."""
 
     epoch: int
     ballot: Ballot
-    index: int
-    has_snapshot: bool  # it holds all that its seat owes
+    index: int  # stored
+    has_snapshot: bool  # it holds all that its membership owes
     taken_at: Ballot | None = None
     taken: View | None = None
 
@@ -216,24 +240,19 @@
 
 
 class Position(Word, frozen=True, tag="have"):
-    """To the one before in the chain: send what follows this index; -1: everything."""
+    """To the one before in the chain: send what follows this index."""
 
     epoch: int
     index: int
 
 
 class Append(Word, frozen=True, tag="fwd"):
+    """The entries that follow an index, each as it was made."""
+
     epoch: int
     after: int
     entries: tuple[Entry, ...]
-
-
-class ChainSnapshot(Word, frozen=True, tag="whole"):
-    """A snapshot for a member that takes its seat: it forgets what it held."""
-
-    epoch: int
-    index: int
-    rows: tuple[tuple[str, str, int, Any], ...]  # with the place of each
+    until: int = 0  # what the sender has stored: a new member holds all that it owes from there on
 
 
 class Ack(Word, frozen=True, tag="ack"):
@@ -262,14 +281,40 @@
     result: CommandResult | InquiryResult | None
 
 
+# --- copies: of a replica for a learner, of the public rows for a follower
+
+
+class CopyRequest(Word, frozen=True, tag="copy?"):
+    """Send the next piece of the copy.  Asked for once the piece before it is stored."""
+
+    id: int  # comes back with the piece; one that answers no open request is left alone
+    position: CopyPosition
+
+
+class CopyPiece(Word, frozen=True, tag="copy"):
+    """The entries that bring what is held to a later index, then the rows that come next.
+
+    `anew`: the entries after the position's index are gone, so that the copy begins at its first row.
+    `total`: with this piece the copy is complete.
+    """
+
+    id: int
+    position: CopyPosition  # with this piece taken
+    anew: bool = False
+    entries: tuple[Entry, ...] = ()
+    rows: tuple[CommittedRow, ...] = ()
+    total: CopyTotal | None = None
+
+
 # --- between a pilot and a lighthouse
 
 
 class Follow(Word, frozen=True, tag="follow"):
-    """Send the changes from this index on; a snapshot first where they are not at hand."""
+    """Send the changes from this index on; a copy of the public rows first where they are not at hand."""
 
     index: int
     tells: bool = False  # it answers `Look`
+    copy: CopyPosition = CopyPosition()  # of a copy that was cut off
 
 
 class FollowerCommand(Word, frozen=True, tag="ask"):
@@ -277,11 +322,6 @@
     what: Command
 
 
-class Snapshot(Word, frozen=True, tag="snap"):
-    index: int
-    rows: tuple[Row, ...]
-
-
 class Changes(Word, frozen=True, tag="chg"):
     index: int
     rows: tuple[Row, ...] = ()
@@ -327,9 +367,9 @@
 
 
 class Leave(msgspec.Struct, tag_field="t", tag="leave", frozen=True):
-    """Give up your seat, and take none until told or started again.
+    """Leave the view, and be no member until told or started again.
 
-    `replaced`: only where another lighthouse waits for a seat, or enough stay to lose `Tolerance.Machines`
+    `replaced`: only where another replica waits to be admitted, or enough stay to lose `Tolerance.Machines`
     more.
     """
 
@@ -337,7 +377,7 @@
 
 
 class Rejoin(msgspec.Struct, tag_field="t", tag="rejoin", frozen=True):
-    """Take a seat again."""
+    """Be a member again."""
 
 
 class Explain(msgspec.Struct, tag_field="t", tag="explain", frozen=True):
@@ -366,13 +406,13 @@
     | Outvoted
     | Position
     | Append
-    | ChainSnapshot
+    | CopyRequest
+    | CopyPiece
     | Ack
     | Submit
     | Result
     | Follow
     | FollowerCommand
-    | Snapshot
     | Changes
     | Core
     | Beat
