Rank a proxy's watchers once for each list and tick, not for each change of the list

Change: who watches this proxy is found at the next tick, and whether it watches a late one once for each list.

--- a/brackengate/pilot/watch.py
+++ b/brackengate/pilot/watch.py
@@ -52,7 +52,8 @@
     def __init__(self, me: str, now: int) -> None:
         self.me = me
         self._pilots: frozenset[str] = frozenset()
-        self._named: tuple[str, ...] = ()
+        self._named: tuple[str, ...] | None = ()  # None: to be found at the next tick
+        self._names_me: dict[str, bool] = {}  # late senders: whether this pilot watches them, by this list
         self._heard: dict[str, int] = {}  # by sender of signs
         self._doubts: dict[str, Doubt] = {}
         self._ticked = now
@@ -71,7 +72,8 @@
         pilots = frozenset(pilots)
         if pilots != self._pilots:
             self._pilots = pilots
-            self._named = named(self.me, pilots)
+            self._named = None  # at the next tick: when a region starts, the list changes a thousand times
+            self._names_me.clear()
             self._heard = {one: at for one, at in self._heard.items() if one in pilots}
         doubted = (set(noticed) & pilots) - {self.me}
         self._doubts = {one: self._doubts.get(one) or Doubt(now) for one in doubted}
@@ -96,14 +98,22 @@
         self._ticked = now
         late = [one for one, at in self._heard.items() if now - at > LATE]
         for one in late:
-            if self.me not in named(one, self._pilots):
+            if not self._watches(one):
                 del self._heard[one]  # it has others to send to by now
         self.noticed = tuple(sorted(one for one in late if one in self._heard))
         signs: tuple[str, ...] = ()
         if now - self._signed >= EVERY - ASKS // 2:
+            if self._named is None:
+                self._named = named(self.me, self._pilots)
             self._signed, signs = now, self._named
         return Sends(signs, tuple(one for one, doubt in self._doubts.items() if self._asks(one, doubt, now)))
 
+    def _watches(self, one: str) -> bool:
+        """Found once for each list: one that is dead is late at every tick until it leaves the list."""
+        if one not in self._names_me:
+            self._names_me[one] = self.me in named(one, self._pilots)
+        return self._names_me[one]
+
     def _asks(self, one: str, doubt: Doubt, now: int) -> bool:
         """Whether to ask it now."""
         if now < doubt.next:
--- a/tests/pilot/test_watch.py
+++ b/tests/pilot/test_watch.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable
 
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan, LessThan
 
 from brackengate import interface as api
 from brackengate.brain import Balancer
+from brackengate.pilot import watch as watching
 from brackengate.pilot.budget import ration
 from brackengate.pilot.watch import ASKS, Watch, named
 
@@ -117,6 +119,46 @@
             self.assertThat(len(named(fleet[0], fleet)), Equals(3))
             self.assertThat(max(by_watcher.values()), LessThan(15))
 
+    def test_a_region_that_starts_costs_each_proxy_a_ranking_for_each_tick_and_not_for_each_change(
+        self,
+    ) -> None:
+        rankings = self._count_rankings()
+        fleet = [f"10.0.{n // 200}.{n % 200}" for n in range(400)]
+        watch = Watch(fleet[0], 0)
+        for size in range(1, len(fleet) + 1):
+            watch.know(fleet[:size], (), size * MS)
+            if size % 100 == 0:
+                watch.tick(size * MS)
+        self.assertThat(len(rankings), LessThan(5))
+        self.assertThat(watch.tick(S).signs, Equals(named(fleet[0], fleet)))
+
+    def test_a_machine_that_stays_dead_costs_its_watcher_one_ranking(self) -> None:
+        fleet = [f"10.0.{n // 200}.{n % 200}" for n in range(400)]
+        dead = next(one for one in fleet[1:] if fleet[0] in named(one, fleet))
+        watch = Watch(fleet[0], 0)
+        watch.know(fleet, (), 0)
+        watch.sign(dead, 0)
+        watch.tick(0)
+        rankings = self._count_rankings()
+        for now in range(100 * MS, 20 * S, 100 * MS):
+            watch.tick(now)
+        self.assertThat(watch.noticed, Equals((dead,)))
+        self.assertThat(rankings, Equals([dead]))
+        watch.know([one for one in fleet if one != dead], (), 20 * S)
+        watch.tick(20 * S + 100 * MS)
+        self.assertThat(watch.noticed, Equals(()))
+
+    def _count_rankings(self) -> list[str]:
+        """Whose watchers are ranked from here on."""
+        ranked: list[str] = []
+
+        def counted(machine: str, pilots: Iterable[str]) -> tuple[str, ...]:
+            ranked.append(machine)
+            return named(machine, pilots)
+
+        self.patch(watching, "named", counted)
+        return ranked
+
 
 class Budgets(TestCase):
     def test_over_all_pilots_and_their_lives_every_window_keeps_to_ratio_and_slack(self) -> None:
