--- a/brackengate/emulator/mesh/disk.py
+++ b/brackengate/emulator/mesh/disk.py
@@ -18,9 +18,10 @@
 from brackengate.emulator.loop import Loop
 from brackengate.emulator.mesh.ground import RoleProcess
 from brackengate.lighthouse.actions import Store
-from brackengate.lighthouse.member import FIRST, Kept
+from brackengate.lighthouse.replica import FIRST, StoredState
+from brackengate.lighthouse.rows import is_deletion
 from brackengate.lighthouse.view import NOBODY
-from brackengate.signals.words import Ballot, View
+from brackengate.signals.words import Ballot, Entry, View
 
 TOLD = 60  # from a sync to its process's next step, in microseconds
 
@@ -39,6 +40,7 @@
     def wipe(self) -> None:
         self._meta: dict[str, bytes] = {}
         self._rows: dict[tuple[str, str], tuple[int, bytes]] = {}
+        self._entries: dict[int, bytes] = {}
         self._under_way: list[Store] | None = None
         self._life = object()  # of what is under way
 
@@ -78,15 +80,21 @@
         for store in stores:
             if store.forget:
                 self._rows.clear()
+            if store.forget or store.cut:
+                self._entries.clear()
             for name, value in store.meta.items():
                 self._meta[name] = encode(value)
             for place, (kind, name, value) in store.rows:
-                if kind == "key" and value is None:
+                if is_deletion(kind, value):
                     self._rows.pop((kind, name), None)
                 else:
                     self._rows[kind, name] = (place, encode(value))
+            for place in [place for place in self._entries if place <= store.committed]:
+                del self._entries[place]
+            for entry in store.entries:
+                self._entries[entry.index] = encode(entry)
 
-    def read(self, first: bool) -> Kept:
+    def read(self, first: bool) -> StoredState:
         """As of `lighthouse.store.open_disk`."""
         inc = FIRST if first else f"{self._rng.getrandbits(48):012x}"
         held = self._read("inc", str)
@@ -94,7 +102,7 @@
             self._meta["inc"] = msgspec.json.encode(inc)
             held = inc
         decode = msgspec.json.decode
-        return Kept(
+        return StoredState(
             held,
             self._read("place", int) or 0,
             self._read("lineage", int) or 0,
@@ -103,6 +111,9 @@
             self._read("taken_at", Ballot),
             self._read("taken", View),
             [(kind, name, place, decode(value)) for (kind, name), (place, value) in self._rows.items()],
+            [decode(data, type=Entry) for _, data in sorted(self._entries.items())],
+            self._read("base", int),
+            self._read("copy", int) or 0,
         )
 
     def _read(self, name: str, kind: Any) -> Any:
@@ -116,7 +127,7 @@
     def __init__(self, disk: EmulatedDisk, process: RoleProcess) -> None:
         self._disk, self._process = disk, process
 
-    async def open(self, first: bool) -> Kept:
+    async def open(self, first: bool) -> StoredState:
         while self._disk.stalled > self._disk.loop.now:
             await asyncio.sleep((self._disk.stalled - self._disk.loop.now) / 1e6)
         if self._disk.full > self._disk.loop.now and self._disk.writes == 0:
--- a/brackengate/pilot/follow.py
+++ b/brackengate/pilot/follow.py
@@ -14,22 +14,26 @@
 from dataclasses import dataclass
 from typing import Any
 
+from brackengate.lighthouse.transfer import NOTHING, Differs
 from brackengate.net.sockets import parse_address
+from brackengate.pilot.copy import PublicCopy
 from brackengate.pilot.table import Table
 from brackengate.signals.lines import Dialer
 from brackengate.signals.words import (
-    Ask,
-    Asked,
     Away,
     Changes,
+    Command,
+    CopyPiece,
+    CopyPosition,
+    CopyRequest,
     Core,
-    Done,
     Follow,
+    FollowerCommand,
     Hello,
     Line,
     Look,
+    Result,
     Seen,
-    Snapshot,
 )
 
 log = logging.getLogger("brackengate.follow")
@@ -52,7 +56,7 @@
 
 @dataclass(slots=True, eq=False)
 class Question:
-    what: Ask
+    what: Command
     done: Callable[[Any], None]
     timer: asyncio.TimerHandle
 
@@ -64,6 +68,7 @@
         self.addr, self._follow = addr, follow
         self.heard = follow.now()
         self.good = False
+        self._asked, self._request = NOTHING, 0  # the piece of a copy that comes next
         host = parse_address(addr)[0]
         self._dialer = Dialer((host, follow.port), self._line, self._opened, self._ended, tries=1)
 
@@ -76,7 +81,16 @@
     def _opened(self, dialer: Dialer) -> None:
         self.heard = self._follow.now()
         dialer.send(Hello(self._follow.me, pilot=True))
-        dialer.send(Follow(self._follow.table.place, tells=True))
+        self._asked, self._request = self._follow.copy.position, 0
+        dialer.send(Follow(self._follow.table.index, tells=True, copy=self._asked))
+
+    def ask_for_piece(self, position: CopyPosition) -> None:
+        self._asked, self._request = position, self._request + 1
+        self.send(CopyRequest(self._request, position))
+
+    def asked_for(self, piece: CopyPiece) -> CopyPosition | None:
+        """The position that this piece follows; None where it answers no open request."""
+        return self._asked if piece.id in (0, self._request) else None
 
     def _line(self, word: Line) -> None:
         self.heard = self._follow.now()
@@ -101,6 +115,7 @@
         """`seeds`: asked again whenever nobody else is known who answers.  `changed`: told what kinds of rows
         have changed, once the table has them.  `wake`: what was decided of an attempt, for an operator."""
         self._wake = wake
+        self.copy = PublicCopy()
         self.me, self.zone, self.port, self.table, self.now = me, zone, port, table, now
         self._seeds, self._changed = seeds, changed
         self._members: dict[str, str] = {}
@@ -129,14 +144,14 @@
 
     # --- asking
 
-    def ask(self, what: Ask, done: Callable[[Any], None], within_s: float) -> None:
+    def ask(self, what: Command, done: Callable[[Any], None], within_s: float) -> None:
         """`done` is called once, with None where no answer came in time."""
         self._last += 1
         number = self._last
         timer = self._loop.call_later(within_s, self._unanswered, number)
         self._questions[number] = Question(what, done, timer)
         if self._link is not None and self._link.good:
-            self._link.send(Asked(number, what))
+            self._link.send(FollowerCommand(number, what))
 
     def _unanswered(self, number: int) -> None:
         question = self._questions.pop(number, None)
@@ -193,30 +208,51 @@
             self.lost(link, "it is out of touch")
         elif isinstance(word, Look):
             seen = self._wake(word.attempt) if word.attempt else ()
-            link.send(Seen(word.id, self.table.place, seen))
+            link.send(Seen(word.id, self.table.index, seen))
         elif isinstance(word, Core):
             self._members = dict(word.members)
-        elif isinstance(word, Done):
+        elif isinstance(word, Result):
             question = self._questions.pop(word.id, None)
             if question is not None:
                 question.timer.cancel()
                 question.done(word.result)
-        elif isinstance(word, Snapshot | Changes):
-            if not link.good:
-                self._followed(link)
-            take = self.table.snapshot if isinstance(word, Snapshot) else self.table.changes
-            changed = take(word.place, word.rows)
-            if changed:
-                self._changed(changed)
+        elif isinstance(word, Changes):
+            self._followed(link)
+            self.copy.begin_anew()
+            self._told(self.table.changes(word.index, word.rows))
+        elif isinstance(word, CopyPiece):
+            self._followed(link)
+            self._piece(link, word)
+
+    def _piece(self, link: Link, piece: CopyPiece) -> None:
+        asked = link.asked_for(piece)
+        if asked is None:
+            return
+        try:
+            whole = self.copy.take(asked, piece)
+        except Differs as why:
+            log.error("follow: step copy, from %s: it differs: %s", link.addr, why)
+            self.lost(link, "its copy differs")
+            return
+        if whole:
+            self._told(self.table.snapshot(*self.copy.whole()))
+        else:
+            link.ask_for_piece(self.copy.position)
+
+    def _told(self, changed: set[str]) -> None:
+        if changed:
+            self._changed(changed)
 
     def _followed(self, link: Link) -> None:
         """It is in touch: what was asked is asked again there."""
+        if link.good:
+            return
         link.good = True
         if link is self._home:
             old, self._link, self._home = self._link, link, None
             if old is not None:
                 old.close()
         self._turn = []
-        log.info("follow: %s, from place %d", link.addr, self.table.place)
+        log.info("follow: %s, from index %d", link.addr, self.table.index)
         for number, question in self._questions.items():
-            link.send(Asked(number, question.what))
+            link.send(FollowerCommand(number, question.what))
--- a/brackengate/signals/words.py
+++ b/brackengate/signals/words.py
@@ -19,11 +19,11 @@
     """One line."""
 
 
-class Seat(msgspec.Struct, frozen=True, array_like=True):
-    """A member of a view.  `inc`: the life of its disk; `since`: the epoch in which it took its seat."""
+class Member(msgspec.Struct, frozen=True, array_like=True):
+    """A member of a view.  `incarnation`: of its disk; `since`: the epoch in which it became one."""
 
     addr: str
-    inc: str
+    incarnation: str
     since: int
 
 
@@ -31,23 +31,46 @@
     """Who holds the log in this epoch, from the head to the tail; they are its voters too."""
 
     epoch: int
-    seats: tuple[Seat, ...]
+    members: tuple[Member, ...]
 
-    def seat(self, addr: str) -> Seat | None:
-        return next((seat for seat in self.seats if seat.addr == addr), None)
+    def member(self, addr: str) -> Member | None:
+        return next((member for member in self.members if member.addr == addr), None)
 
     @property
     def majority(self) -> int:
-        return len(self.seats) // 2 + 1
+        return len(self.members) // 2 + 1
 
 
 class Entry(msgspec.Struct, frozen=True, array_like=True):
     """One step of the log: rows that come into being together."""
 
-    place: int
+    index: int
     rows: tuple[Row, ...]
 
 
+class CommittedRow(msgspec.Struct, frozen=True, array_like=True):
+    """A committed row, with the log index of the entry that it comes from."""
+
+    kind: str
+    name: str
+    index: int
+    value: Any
+
+
+class CopyPosition(msgspec.Struct, frozen=True, array_like=True):
+    """How far a copy is: it holds the rows of all buckets below `bucket` as they stood at `index`."""
+
+    bucket: int = 0
+    index: int = 0
+
+
+class CopyTotal(msgspec.Struct, frozen=True, array_like=True):
+    """What a complete copy holds: a copy that differs from it does not count."""
+
+    count: int
+    checksum: int
+
+
 Ballot = tuple[int, str]
 
 
@@ -92,14 +115,55 @@
     value: Any
 
 
-class Noticed(msgspec.Struct, tag_field="t", tag="noticed", frozen=True):
+class Suspect(msgspec.Struct, tag_field="t", tag="noticed", frozen=True):
     """The machines that a pilot watches and does not hear."""
 
     watcher: str
     silent: tuple[str, ...]
 
 
-Ask = Amend | Read | Claim | Unclaim | Report | Noticed
+Command = Amend | Read | Claim | Unclaim | Report | Suspect
+
+
+# --- what becomes of a command
+
+
+class CommandDone(msgspec.Struct, tag_field="t", tag="ok", frozen=True):
+    """It holds: agreed, whether it changed anything or was so already."""
+
+
+class HeldBy(msgspec.Struct, tag_field="t", tag="held_by", frozen=True):
+    """A claim: another one holds the key."""
+
+    owner: str  # the pilot
+    attempt: str
+
+
+class InvalidOrder(msgspec.Struct, tag_field="t", tag="invalid", frozen=True):
+    """An order of the operator that must not be in force, in any part."""
+
+    reason: str
+
+
+class ConflictingOrder(msgspec.Struct, tag_field="t", tag="conflict", frozen=True):
+    """Another order was acknowledged with other content under the same version; no part is in force."""
+
+    reason: str
+
+
+class UndecidedOrder(msgspec.Struct, tag_field="t", tag="undecided", frozen=True):
+    """Whether it was acknowledged before is no longer known; no part is in force by it now."""
+
+    reason: str
+
+
+class Configuration(msgspec.Struct, tag_field="t", tag="configuration", frozen=True):
+    """All items that stand, as the operator's first call lays them out."""
+
+    content: dict[str, Any]
+
+
+CommandResult = CommandDone | HeldBy | InvalidOrder | ConflictingOrder | UndecidedOrder | Configuration
 
 
 # --- among lighthouses
@@ -113,15 +177,15 @@
 
 
 class Ping(Word, frozen=True, tag="ping"):
-    inc: str
+    incarnation: str
     epoch: int
-    place: int = 0  # stored
-    synced: int = 0  # the epoch in which it has caught up with the one before it
-    joining: bool = False  # it holds no seat, and is fit for one
-    fit: bool = True  # its disk takes what it is given
+    index: int = 0  # stored
+    caught_up_epoch: int = 0  # the epoch in which it has caught up with the one before it
+    joining: bool = False  # it is no member, and wants to be one
+    disk_healthy: bool = True  # its disk takes what it is given
     zone: str = ""
     hears: tuple[str, ...] = ()
-    leaves: bool = False  # it was told to give up its seat
+    leaves: bool = False  # it was told to leave
     sent: int = 0  # the sender's steady clock when it sent this; the pong brings it back
     copied: int = -1  # a learner's complete copy reaches to this index of the log; -1: it is not complete
 
@@ -130,6 +194,7 @@
     epoch: int
     sent: int = 0  # of the ping that this answers: a lease runs from its sending
     closed: bool = False  # the sender has promised to store nothing more in this epoch
+    incarnation: str = ""  # of the process that answers
 
 
 class WantView(Word, frozen=True, tag="view?"):
@@ -148,12 +213,12 @@
 
 
 class Promise(Word, frozen=True, tag="prom"):
-    """The sender has sealed the epoch before this one: it stores nothing more in it."""
+    """The sender has closed the epoch before this one: it stores nothing more in it."""
 
     epoch: int
     ballot: Ballot
-    place: int
-    whole: bool  # it holds all that its seat owes
+    index: int  # stored
+    has_snapshot: bool  # it holds all that its membership owes
     taken_at: Ballot | None = None
     taken: View | None = None
 
@@ -174,68 +239,91 @@
     ballot: Ballot  # the higher one that was promised
 
 
-class Have(Word, frozen=True, tag="have"):
-    """To the one before in the chain: send what follows this place; -1: everything."""
+class Position(Word, frozen=True, tag="have"):
+    """To the one before in the chain: send what follows this index."""
 
     epoch: int
-    place: int
+    index: int
+
 
+class Append(Word, frozen=True, tag="fwd"):
+    """The entries that follow an index, each as it was made."""
 
-class Forward(Word, frozen=True, tag="fwd"):
     epoch: int
     after: int
     entries: tuple[Entry, ...]
+    until: int = 0  # what the sender has stored: a new member holds all that it owes from there on
 
 
-class Whole(Word, frozen=True, tag="whole"):
-    """A snapshot for a member that takes its seat: it forgets what it held."""
+class Ack(Word, frozen=True, tag="ack"):
+    """From the sender on to the tail, all have this index on disk."""
 
     epoch: int
-    place: int
-    rows: tuple[tuple[str, str, int, Any], ...]  # with the place of each
+    index: int
 
 
-class Stored(Word, frozen=True, tag="ack"):
-    """From the sender on to the tail, all have this place on disk."""
+class Submit(Word, frozen=True, tag="do"):
+    """To the head: a command that came to another replica.
 
-    epoch: int
-    place: int
+    `epoch`: of the view in which it was submitted.  One that lay in a queue until the view was another one
+    is not taken: its sender has submitted it anew, or has told its caller nothing and been told to stop.
+    """
+
+    id: int
+    what: Command
+    epoch: int = 0
 
 
-class Do(Word, frozen=True, tag="do"):
-    """To the head: an ask that came to another member."""
+class Result(Word, frozen=True, tag="done"):
+    """`result` None: it is not known what becomes of the command."""
 
     id: int
-    what: Ask
+    result: CommandResult | InquiryResult | None
+
+
+# --- copies: of a replica for a learner, of the public rows for a follower
+
+
+class CopyRequest(Word, frozen=True, tag="copy?"):
+    """Send the next piece of the copy.  Asked for once the piece before it is stored."""
+
+    id: int  # comes back with the piece; one that answers no open request is left alone
+    position: CopyPosition
 
 
-class Done(Word, frozen=True, tag="done"):
+class CopyPiece(Word, frozen=True, tag="copy"):
+    """The entries that bring what is held to a later index, then the rows that come next.
+
+    `anew`: the entries after the position's index are gone, so that the copy begins at its first row.
+    `total`: with this piece the copy is complete.
+    """
+
     id: int
-    result: Any
+    position: CopyPosition  # with this piece taken
+    anew: bool = False
+    entries: tuple[Entry, ...] = ()
+    rows: tuple[CommittedRow, ...] = ()
+    total: CopyTotal | None = None
 
 
 # --- between a pilot and a lighthouse
 
 
 class Follow(Word, frozen=True, tag="follow"):
-    """Send the changes from this place on; a snapshot first where they are not at hand."""
+    """Send the changes from this index on; a copy of the public rows first where they are not at hand."""
 
-    place: int
+    index: int
     tells: bool = False  # it answers `Look`
+    copy: CopyPosition = CopyPosition()  # of a copy that was cut off
 
 
-class Asked(Word, frozen=True, tag="ask"):
+class FollowerCommand(Word, frozen=True, tag="ask"):
     id: int
-    what: Ask
-
-
-class Snapshot(Word, frozen=True, tag="snap"):
-    place: int
-    rows: tuple[Row, ...]
+    what: Command
 
 
 class Changes(Word, frozen=True, tag="chg"):
-    place: int
+    index: int
     rows: tuple[Row, ...] = ()
 
 
@@ -263,7 +351,7 @@
 
 class Seen(Word, frozen=True, tag="seen"):
     id: int
-    place: int
+    index: int
     wake: tuple[dict[str, Any], ...] = ()  # what it decided, the oldest first
 
 
@@ -279,9 +367,9 @@
 
 
 class Leave(msgspec.Struct, tag_field="t", tag="leave", frozen=True):
-    """Give up your seat, and take none until told or started again.
+    """Leave the view, and be no member until told or started again.
 
-    `replaced`: only where another lighthouse waits for a seat, or enough stay to lose `Tolerance.Machines`
+    `replaced`: only where another replica waits to be admitted, or enough stay to lose `Tolerance.Machines`
     more.
     """
 
@@ -289,7 +377,7 @@
 
 
 class Rejoin(msgspec.Struct, tag_field="t", tag="rejoin", frozen=True):
-    """Take a seat again."""
+    """Be a member again."""
 
 
 class Explain(msgspec.Struct, tag_field="t", tag="explain", frozen=True):
@@ -316,15 +404,15 @@
     | Accept
     | Accepted
     | Outvoted
-    | Have
-    | Forward
-    | Whole
-    | Stored
-    | Do
-    | Done
+    | Position
+    | Append
+    | CopyRequest
+    | CopyPiece
+    | Ack
+    | Submit
+    | Result
     | Follow
-    | Asked
-    | Snapshot
+    | FollowerCommand
     | Changes
     | Core
     | Beat
@@ -357,38 +445,50 @@
     zone: str = ""
     heard: bool = False
     joining: bool = False
-    fit: bool = True
+    disk_healthy: bool = True
     leaves: bool = False
 
 
+class SeatAnswer(msgspec.Struct, tag_field="t", tag="seat", frozen=True, omit_defaults=True):
+    """To `Leave` and `Rejoin`.  `refused`: why it does not; empty: it does."""
+
+    refused: str = ""
+
+
 class Follows(msgspec.Struct, frozen=True, omit_defaults=True):
     """A pilot that follows this lighthouse."""
 
     addr: str
-    sent: int  # the place that it was sent
-    place: int | None = None  # that it has, by its own word; None: it did not say
+    sent: int  # the index that it was sent
+    index: int | None = None  # that it has, by its own word; None: it did not say
     wake: tuple[dict[str, Any], ...] = ()  # what it decided of the attempt that was asked for
 
 
-class Standing(msgspec.Struct, frozen=True, omit_defaults=True):
+class Followers(msgspec.Struct, tag_field="t", tag="followers", frozen=True):
+    """To `Explain`: the pilots that follow, each with what it decided."""
+
+    pilots: tuple[Follows, ...]
+
+
+class Standing(msgspec.Struct, tag_field="t", tag="standing", frozen=True, omit_defaults=True):
     """One lighthouse, by its own word.  Places are of the log; -1: none is known."""
 
     addr: str
-    inc: str
+    incarnation: str
     zone: str
     epoch: int
-    seats: tuple[Seat, ...]
-    enough: int  # disks that hold a write before it is acknowledged
-    place: int
+    members: tuple[Member, ...]
+    min_replicas: int  # disks that hold a write before it is acknowledged
+    index: int
     stored: int
-    agreed: int
+    commit_index: int
     public: int  # the last place of which pilots have anything to know
-    seated: bool
-    whole: bool
+    is_member: bool
+    has_snapshot: bool
     serves: bool
-    fit: bool = True
+    disk_healthy: bool = True
     leaves: bool = False
-    sealed: bool = False
+    epoch_closed: bool = False
     keys: int = 0
     routes: int = 0
     plants: int = 0
@@ -403,14 +503,17 @@
 
     kind: str
     name: str
-    place: int
+    index: int = msgspec.field(name="place")  # as backups name it
     version: int
     host: str = ""
     body: dict[str, Any] | None = None
 
 
-class Items(msgspec.Struct, frozen=True):
+class Items(msgspec.Struct, tag_field="t", tag="items", frozen=True):
     serves: bool
-    agreed: int
+    commit_index: int
     epoch: int
     items: tuple[HeldItem, ...]
+
+
+InquiryResult = SeatAnswer | Followers | Standing | Items
--- a/tests/lighthouse/test_core.py
+++ b/tests/lighthouse/test_core.py
@@ -12,8 +12,8 @@
 from testtools.matchers import Equals, HasLength
 from timeline import play
 
-from brackengate.lighthouse.member import FIRST
-from brackengate.signals.words import Amend, Claim, Read
+from brackengate.lighthouse.replica import FIRST
+from brackengate.signals.words import Amend, Claim, CommandDone, HeldBy, Read
 
 
 class Mending(TestCase):
@@ -268,7 +268,7 @@
             answers,
             Equals(
                 {
-                    "B": "2 members would be left and no other lighthouse waits for a seat;"
+                    "B": "2 members would be left and no other replica waits to be admitted;"
                     " it takes 3 to lose 1 more"
                 }
             ),
@@ -362,7 +362,7 @@
             hosts[2].ask(Claim("k1", "g2", "2"), again.append)
             core.run(core.now + 2_000_000)
             if acknowledged:
-                self.assertThat(again, Equals([{"gate": "g1", "attempt": "1"}]), f"{late} us")
+                self.assertThat(again, Equals([HeldBy("g1", "1")]), f"{late} us")
             else:
                 self.assertThat(again, HasLength(1), f"{late} us")
 
@@ -388,13 +388,13 @@
         hosts[2].ask(Amend(plant % ("new", 7)), said.append)
         hosts[1].ask(Amend(plant % ("older", 2)), said.append)
         core.run(core.now + 1_000_000)
-        self.assertThat(said, Equals([{"ok": True}] * 3))
+        self.assertThat(said, Equals([CommandDone()] * 3))
         for host in hosts:
             read: list[Any] = []
             host.ask(Read(), read.append)
             core.run(core.now + 500_000)
             self.assertThat(
-                read[0]["Plants"], Equals([{"Name": "p", "HealthPath": "/new", "Revision": "r7"}])
+                read[0].content["Plants"], Equals([{"Name": "p", "HealthPath": "/new", "Revision": "r7"}])
             )
 
     def test_what_is_published_never_goes_back_and_is_agreed(self) -> None:
@@ -410,7 +410,7 @@
             if version == 20:
                 hosts[0].start()
         for host in hosts:
-            seen = [rows[0][2][0] for place, rows in host.published if place >= 0]
+            seen = [rows[0][2][0] for index, rows in host.published if index >= 0]
             self.assertThat(seen, Equals(sorted(set(seen))), host.name)
 
 
@@ -437,7 +437,7 @@
         folder=tmp_path,
     )
     assert answers == {"k1 g1": "ok", "k2 g2": "ok"}
-    lives = {seat.addr: seat.inc for view in core.views().values() for seat in view.seats}
+    lives = {member.addr: member.incarnation for view in core.views().values() for member in view.members}
     assert [lives[name] == FIRST for name in core.hosts] == [False, True, True]
 
 
@@ -472,10 +472,10 @@
             gate = f"g{count[0]}"
 
             def done(result: Any) -> None:
-                if result is not None and "gate" not in result:
+                if result is not None and not isinstance(result, HeldBy):
                     assert granted.setdefault(key, gate) == gate
                 elif result is not None:
-                    assert granted.get(key, result["gate"]) == result["gate"]
+                    assert granted.get(key, result.owner) == result.owner
 
             rng.choice(hosts).ask(Claim(key, gate, "1"), done)
             core.later(rng.randrange(50_000), client)
@@ -492,9 +492,9 @@
         elif kind in ("cut", "mute"):
             core.cut([*others, *((b, a) for a, b in others if kind == "cut")])
             core.later(lasts, core.heal)
-        elif kind == "leave" and host.member is not None:
-            host.member.leave(rng.random() < 0.5, core.now)
-            core.later(lasts, host.member.rejoin)
+        elif kind == "leave" and host.replica is not None:
+            host.replica.leave(rng.random() < 0.5, core.now)
+            core.later(lasts, host.replica.rejoin)
         elif kind == "stall":
             host.stalled_until = core.now + lasts
         elif kind == "freeze":
@@ -510,6 +510,6 @@
     core.run(28_000_000)
     assert len({view.epoch for view in core.views().values()}) == 1
     for host in hosts:
-        assert host.member is not None and host.member.chain.whole
-        assert [key for key in granted if ("key", key) not in host.member.chain.rows] == []
+        assert host.replica is not None and host.replica.chain.has_snapshot
+        assert [key for key in granted if ("key", key) not in host.replica.chain.rows] == []
     assert len(granted) > 200
