--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -41,7 +41,7 @@
 from brackengate.pilot.gate import Beat, Gate
 from brackengate.pilot.table import Table
 from brackengate.pilot.watcher import Watcher
-from brackengate.signals.words import Claim
+from brackengate.signals.words import Claim, CommandDone
 from brackengate.signals.words import Report as UpstreamReport
 
 DRAIN_US = 2_000_000
@@ -230,7 +230,7 @@
                 result = await answer
                 if result is None:
                     counts["unanswered"] += 1
-                elif result == {"ok": True}:
+                elif isinstance(result, CommandDone):
                     took.append((time.monotonic_ns() - begun) // 1000)
                 else:
                     counts["refused"] += 1
--- a/benchmarks/scale/measure.py
+++ b/benchmarks/scale/measure.py
@@ -85,7 +85,7 @@
     took = after.at - before.at
     out: list[RoleLoad] = []
     chain = await site.standings()
-    last = len(max(chain, key=lambda one: one.epoch).seats) - 1
+    last = len(max(chain, key=lambda one: one.epoch).members) - 1
     for place, standing in enumerate(chain):
         role = "head" if place == 0 else "middle" if place < last else "tail" if place == last else "out"
         old, new = before.replicas[standing.addr], after.replicas[standing.addr]
--- a/benchmarks/scale/site.py
+++ b/benchmarks/scale/site.py
@@ -221,14 +221,16 @@
                 standings, _ = await self.bridge.standings()
             except ExceptionGroup:
                 standings = []
-            if len(standings) == len(self.replicas) and all(one.seated and one.whole for one in standings):
+            if len(standings) == len(self.replicas) and all(
+                one.is_member and one.has_snapshot for one in standings
+            ):
                 return
             await asyncio.sleep(0.2)
 
     async def standings(self) -> list[Standing]:
         """Of the members, from the head to the tail; then of those that have lost their seat."""
         standings, _ = await self.bridge.standings()
-        order = [seat.addr for seat in max(standings, key=lambda one: one.epoch).seats]
+        order = [member.addr for member in max(standings, key=lambda one: one.epoch).members]
         return sorted(standings, key=lambda one: order.index(one.addr) if one.addr in order else len(order))
 
     def replica(self, address: str) -> RealProcess:
