--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from benchmarks.scale import calls, report
-from benchmarks.scale.measure import QUICK, Spans, run
+from benchmarks.scale.measure import QUICK, Place, Spans, run
 from benchmarks.scale.results import Results, Run
 from benchmarks.scale.site import FIRST_PORT, Size
 from brackengate.pilot.watch import LATE
@@ -33,6 +33,7 @@
     parser.add_argument("--at-once", type=int, default=Spans().most_at_once, help="claims under way")
     parser.add_argument("--late", type=float, default=LATE / 1e3, help="ms until hollow ones suspect others")
     parser.add_argument("--port", type=int, default=FIRST_PORT, help="the first of nine, on all addresses")
+    parser.add_argument("--data", type=Path, help="folder for the replicas' disks")
     parser.add_argument("--out", type=Path, help="folder or name stem of results: .json, .txt, .png")
     return parser.parse_args()
 
@@ -51,8 +52,9 @@
 
 async def measure(options: argparse.Namespace) -> tuple[list[Run], list[str]]:
     """The runs, and why others did not come to their end."""
+    place = Place(options.port, options.data)
     if options.quick:
-        return [await run(Size(12, real_proxies=1), 0, QUICK, options.port, say)], []
+        return [await run(Size(12, real_proxies=1), 0, QUICK, place, say)], []
     spans = Spans(rest_s=options.rest, claims_s=options.claims, most_at_once=options.at_once)
     runs: list[Run] = []
     failed: list[str] = []
@@ -60,7 +62,7 @@
         for size in sizes(options):
             try:
                 async with asyncio.timeout(RUN_S):
-                    runs.append(await run(size, repeat, spans, options.port, say))
+                    runs.append(await run(size, repeat, spans, place, say))
             except (OSError, RuntimeError) as error:  # TimeoutError is one
                 name = f"{size.proxies} proxies, {size.replicas} replicas, run {repeat + 1}"
                 failed.append(f"{name}: {error!r} (at most {RUN_S:.0f} s)")
--- a/benchmarks/scale/measure.py
+++ b/benchmarks/scale/measure.py
@@ -46,6 +46,14 @@
 QUICK = Spans(settle_s=0.2, rest_s=0.4, changes=2, claims_s=0.2, most_at_once=8, deaths=1)
 
 
+@dataclass(frozen=True)
+class Place:
+    """Where a run takes place.  `folder`: for the replicas' disks; None: the usual one for what passes."""
+
+    first_port: int
+    folder: Path | None = None
+
+
 @dataclass(frozen=True)
 class Used:
     """By one process so far."""
@@ -220,11 +228,12 @@
     return Suspicion(tuple(first), tuple(last), late)
 
 
-async def run(size: Size, repeat: int, spans: Spans, first_port: int, say: Callable[[str], None]) -> Run:
+async def run(size: Size, repeat: int, spans: Spans, place: Place, say: Callable[[str], None]) -> Run:
     """One whole run; all processes are ended with it."""
     load, begun = os.getloadavg()[0], time.monotonic()
-    with tempfile.TemporaryDirectory(prefix="scale-") as folder:
-        site = Site(Path(folder), size, first_port)
+    with tempfile.TemporaryDirectory(prefix="scale-", dir=place.folder) as folder:
+        sync = usage.sync_ms(Path(folder))
+        site = Site(Path(folder), size, place.first_port)
         try:
             say(f"{size.proxies} proxies, {size.replicas} replicas, run {repeat + 1}")
             await site.start()
@@ -245,8 +254,8 @@
             epoch = max(one.epoch for one in await site.standings())
             return Run(
                 size.proxies, size.replicas, size.real_proxies, len(site.groups), repeat,
-                size.late_us / 1e3, epoch, load, time.monotonic() - begun, start, restart, rest, changed,
-                single, most, suspected,
+                size.late_us / 1e3, epoch, sync, load, time.monotonic() - begun, start, restart,
+                rest, changed, single, most, suspected,
             )  # fmt: skip
         finally:
             await site.stop()
--- a/benchmarks/scale/report.py
+++ b/benchmarks/scale/report.py
@@ -37,7 +37,8 @@
     return [
         f"== {run.proxies} proxies ({run.real_proxies} real), {run.replicas} replicas, run {run.repeat + 1};"
         f" load average before it {run.load_average:.1f}; {run.seconds:.0f} s;"
-        f" late after {run.late_ms:.0f} ms; epoch {run.epoch}",
+        f" late after {run.late_ms:.0f} ms; epoch {run.epoch};"
+        f" a sync {run.sync_ms[0]:.2f} ms (99 in 100: {run.sync_ms[1]:.1f})",
         f"at rest (longest stall of a hollow process {run.rest.longest_stall_ms:.0f} ms,"
         f" {run.rest.suspected} suspected); datagrams in {run.rest.datagrams_in:.1f}/s each",
         LOAD_COLUMNS,
--- a/benchmarks/scale/results.py
+++ b/benchmarks/scale/results.py
@@ -88,6 +88,7 @@
     repeat: int
     late_ms: float  # after which a hollow proxy suspects another
     epoch: int  # of the view at the end: 1 to begin with, and one more for each change of members
+    sync_ms: tuple[float, float]  # of the replicas' disk before it: the median and the 99th in 100
     load_average: float  # of the machine, at its start: it is shared
     seconds: float
     start: Start
--- a/benchmarks/scale/usage.py
+++ b/benchmarks/scale/usage.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import os
 import re
 import subprocess
+import time
 from dataclasses import dataclass
 from pathlib import Path
 
 import msgspec
 
+from benchmarks.scale.slopes import percentile
+
+SYNCS = 100
 BYTES = re.compile(r"\b(bytes_sent|bytes_received|data_segs_out|data_segs_in):(\d+)")
 OWNER = re.compile(r"pid=(\d+)")
 
@@ -39,6 +44,18 @@
     return sum(file.stat().st_size for file in folder.glob("*"))
 
 
+def sync_ms(folder: Path) -> tuple[float, float]:
+    """The median and the 99th in 100 of syncs of a page each, one after the other."""
+    took: list[float] = []
+    with (folder / "sync").open("wb", buffering=0) as file:
+        for _ in range(SYNCS):
+            file.write(bytes(4096))
+            begun = time.perf_counter()
+            os.fdatasync(file.fileno())
+            took.append((time.perf_counter() - begun) * 1e3)
+    return percentile(took, 0.5), percentile(took, 0.99)
+
+
 @dataclass(frozen=True, slots=True)
 class Wire:
     """Of the open connections between two sets of addresses.  Segments with data stand for messages: each
@@ -80,7 +97,7 @@
 
 
 def parse_connections(text: str) -> list[Connection]:
-    """What `ss -tinpH` says: a line for each end, and an indented one with its counters."""
+    """What `ss -tinpH` says: a line for each end, its state first, and an indented one with its counters."""
     found: list[Connection] = []
     end: tuple[str, str, int] | None = None
     for line in text.splitlines():
@@ -102,7 +119,7 @@
 
 def connections(port: int) -> list[Connection]:
     """All ends of connections at this port; none where `ss` is not installed."""
-    command = ["ss", "-tinpH", "state", "established", f"( sport = :{port} or dport = :{port} )"]
+    command = ["ss", "-tinpH", f"( sport = :{port} or dport = :{port} )"]
     try:
         return parse_connections(subprocess.run(command, capture_output=True, text=True, check=True).stdout)
     except FileNotFoundError:
