--- a/benchmarks/scale/usage.py
+++ b/benchmarks/scale/usage.py
@@ -134,7 +134,8 @@
 
     Who dials does not choose its address, so the process at the other end says who that is."""
     owners = {end.local: end.pid for end in ends}
-    core, others = Wires(), Wires()
+    core: Wires = {}
+    others: Wires = {}
     for end in ends:
         if end.pid == pid:
             dialled = end.local_port() != port
