Say how long replicas waited for a core, and end all processes on a SIGTERM

Need: on a shared machine times say little without the wait for a core; a stopped run left processes. Change: both.

--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import signal
 import subprocess
 import sys
 from pathlib import Path
@@ -87,6 +88,9 @@
 
 async def main() -> None:
     options = arguments()
+    whole = asyncio.current_task()
+    assert whole is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, whole.cancel)  # nothing is left running
     if options.what == "calls":
         print(report.added_text(await calls.measure(options.quick, options.port)))
         return
--- a/benchmarks/scale/measure.py
+++ b/benchmarks/scale/measure.py
@@ -62,6 +62,7 @@
     core: Wires = field(default_factory=dict)
     followers: Wires = field(default_factory=dict)
     commits: int = 0
+    waited_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -81,7 +82,9 @@
     for one in site.replicas:
         core, followers = usage.of_replica(one.pid, pids, port, ends)
         held = usage.commits(one.machine.folder / "data")
-        replicas[one.address] = Used(usage.cpu_s(one.pid), usage.memory_kb(one.pid), core, followers, held)
+        replicas[one.address] = Used(
+            usage.cpu_s(one.pid), usage.memory_kb(one.pid), core, followers, held, usage.waited_s(one.pid)
+        )
     rest = [one.pid for one in site.proxies], [one.pid for one in site.groups]
     plain = [tuple(Used(usage.cpu_s(pid), usage.memory_kb(pid)) for pid in pids) for pids in rest]
     return Reading(time.monotonic(), replicas, *plain)
@@ -118,6 +121,7 @@
         core_bytes_out=core.bytes_out / took,
         core_bytes_in=core.bytes_in / took,
         commits=(new.commits - old.commits) / took,
+        waited=(new.waited_s - old.waited_s) / took,
     )
 
 
--- a/benchmarks/scale/report.py
+++ b/benchmarks/scale/report.py
@@ -19,7 +19,7 @@
 )
 LOAD_COLUMNS = (
     "role     followers    cpu %  peak MB | followers: msg out     in    B out     B in |"
-    " replicas: msg out     in    B out     B in | commits"
+    " replicas: msg out     in    B out     B in | commits  waited %"
 )
 
 
@@ -66,7 +66,7 @@
         f"{load.role:8} {load.followers:9} {load.cpu * 100:8.2f} {load.peak_mb:8.1f} |"
         f" {load.messages_out:18.1f} {load.messages_in:6.1f} {load.bytes_out:8.0f} {load.bytes_in:8.0f} |"
         f" {load.core_messages_out:17.1f} {load.core_messages_in:6.1f} {load.core_bytes_out:8.0f}"
-        f" {load.core_bytes_in:8.0f} | {load.commits:7.1f}"
+        f" {load.core_bytes_in:8.0f} | {load.commits:7.1f} {load.waited * 100:9.1f}"
     )
 
 
--- a/benchmarks/scale/results.py
+++ b/benchmarks/scale/results.py
@@ -25,6 +25,7 @@
     core_bytes_out: float = 0.0
     core_bytes_in: float = 0.0
     commits: float = 0.0  # each a sync of the disk
+    waited: float = 0.0  # of a replica: seconds ready to run without a core, over all threads
 
 
 class Rest(msgspec.Struct, frozen=True):
--- a/benchmarks/scale/usage.py
+++ b/benchmarks/scale/usage.py
@@ -24,6 +24,12 @@
     return sum(int(task.read_text().split()[0]) for task in tasks) / 1e9
 
 
+def waited_s(pid: int) -> float:
+    """Seconds that its threads were ready to run and had no core: much of it, and times are the machine's."""
+    tasks = Path(f"/proc/{pid}/task").glob("*/schedstat")
+    return sum(int(task.read_text().split()[1]) for task in tasks) / 1e9
+
+
 def memory_kb(pid: int, field: str = "VmHWM") -> int:
     """Resident memory: `VmHWM` at its peak, `VmRSS` now."""
     text = Path(f"/proc/{pid}/status").read_text()
