Measure single steps by size in one process: copies, changes, orders, watchers, keys

For sizes at which a whole deployment does not fit on one shared machine; processor time of the process alone.

--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from benchmarks.scale import calls, report
+from benchmarks.scale import calls, report, units
 from benchmarks.scale.measure import QUICK, Place, Spans, run
 from benchmarks.scale.results import Results, Run
 from benchmarks.scale.site import FIRST_PORT, Size
@@ -23,7 +23,7 @@
 
 def arguments() -> argparse.Namespace:
     parser = argparse.ArgumentParser(prog="python -m benchmarks.scale", description=__doc__)
-    parser.add_argument("what", nargs="?", choices=("sizes", "calls", "report"), default="sizes")
+    parser.add_argument("what", nargs="?", choices=("sizes", "calls", "units", "report"), default="sizes")
     parser.add_argument("--quick", action="store_true", help="some seconds: 12 proxies, short spans")
     parser.add_argument("--sizes", default="30,100,300,1000", help="numbers of proxies")
     parser.add_argument("--replicas", default="3", help="numbers of control replicas, 3 to 6")
@@ -94,6 +94,9 @@
     if options.what == "calls":
         print(report.added_text(await calls.measure(options.quick, options.port)))
         return
+    if options.what == "units":
+        print(units.measure())
+        return
     if options.what == "report":
         found: Results = msgspec.json.decode(options.out.with_suffix(".json").read_bytes(), type=Results)
     else:
--- a/tests/scale/test_slopes.py
+++ b/tests/scale/test_slopes.py
@@ -16,7 +16,10 @@
     percentile,
     proxy_core_share,
 )
+from benchmarks.scale.units import pieces, public_rows, take
 from benchmarks.scale.usage import Wire, of_replica, parse_connections, since
+from brackengate.lighthouse.recent import RecentEntries
+from brackengate.lighthouse.rows import CommittedRows
 
 SAID_BY_SS = """\
 ESTAB 0      0      127.0.0.1:50001    127.40.1.1:19405 users:(("python",pid=11,fd=9))
@@ -95,3 +98,12 @@
     loads = [RoleLoad("middle", 0.2, 30.0), RoleLoad("middle", 0.4, 30.0)]
     assert mean_cpu(loads, "middle") == pytest.approx(0.3)
     assert mean_cpu(loads, "tail") == 0.0
+
+
+def test_a_follower_that_takes_the_measured_copy_has_every_upstream_and_route() -> None:
+    size = Size(40)
+    held, recent = public_rows(size), RecentEntries(1, 1)
+    recent.begin(1)
+    table = take(pieces(CommittedRows.of((kind, name, 1, value) for kind, name, value in held), recent))
+    assert sorted(table.pilots()) == sorted(proxy_ip(n) for n in range(40))
+    assert len(list(table.routes())) == 2 * size.services
