--- a/tests/lighthouse/test_membership.py
+++ b/tests/lighthouse/test_membership.py
@@ -12,7 +12,7 @@
 from brackengate.lighthouse.failure_detector import FORGOTTEN, LEASE
 from brackengate.lighthouse.membership import MembershipFacts, next_members
 from brackengate.lighthouse.view import ADMISSION_LAG, Agreement
-from brackengate.signals.words import Line, Member, Ping, Pong, Prepare, Promise, View
+from brackengate.signals.words import Accept, Line, Member, Ping, Pong, Prepare, Promise, View
 
 A, B, C, D, E = (Member(name, "i", 1) for name in "ABCDE")
 NEW = Member("N", "n", 2)
@@ -205,6 +205,25 @@
     assert core.agreement._acceptor.promised == NOBODY
 
 
+def test_the_vote_of_a_lost_disk_does_not_count_in_the_smaller_quorum() -> None:
+    """D is lost: two of A, B, C agree.  B promises and is lost too: A is alone."""
+    for lost in (False, True):
+        core, out = Scripted((A, B, C, D)), list[Action]()
+        for _ in range(3):
+            core.round("B", "C", "D")
+        for _ in range(3):
+            if not prepares(out):
+                out = core.round("B", "C")
+                core.hear("D", Pong(1, core.now, False, "newer"))
+        assert core.agreement._quorum() == 2 and prepares(out)
+        core.hear("B", Promise(2, (1, "A"), 100, True))
+        if lost:
+            core.round("C")
+            core.hear("B", Pong(1, core.now, False, "newer"))
+        out = core.hear("A", Promise(2, (1, "A"), 100, True))
+        assert any(isinstance(one, Tell) and isinstance(one.word, Accept) for one in out) is not lost
+
+
 def test_its_own_promise_ends_the_lease() -> None:
     """With B it is a majority, and with C, which it gave its promise to, another one that may go on."""
     core = Scripted()
