--- a/brackengate/soundings/mistakes.py
+++ b/brackengate/soundings/mistakes.py
@@ -6,6 +6,7 @@
 
 from brackengate.lighthouse.actions import Action, Answer
 from brackengate.lighthouse.chain import Chain
+from brackengate.lighthouse.commands import GIVE_UP_AFTER
 from brackengate.lighthouse.replica import Replica
 from brackengate.lighthouse.view import Agreement, LogStatus
 from brackengate.signals.words import Command, Entry, Member, Promise, Read
@@ -28,11 +29,11 @@
 
 
 class _StaleChain(Chain):
-    def ask(self, what: Command, local: int, now: int) -> list[Action]:
+    def ask(self, what: Command, local: int, now: int, give_up_after: int = GIVE_UP_AFTER) -> list[Action]:
         """The tail answers a read from what it holds, without a look at whether it still is the tail."""
         if isinstance(what, Read) and 0 <= self._chain_position() == len(self.view.members) - 1:
             return [Answer(local, self.configuration())]
-        return super().ask(what, local, now)
+        return super().ask(what, local, now, give_up_after)
 
 
 class _WipedVotes(Agreement):
