--- a/brackengate/lighthouse/commands.py
+++ b/brackengate/lighthouse/commands.py
@@ -16,6 +16,7 @@
 
 from brackengate.lighthouse import orders
 from brackengate.lighthouse.actions import Answer
+from brackengate.lighthouse.rows import KEY
 from brackengate.signals.items import Invalid, Item, Name, read_call
 from brackengate.signals.words import (
     Amend,
@@ -38,7 +39,9 @@
 
 RESUBMIT_AFTER = 400_000  # a command without a result is submitted again, microseconds
 GIVE_UP_AFTER = 12_000_000  # and forgotten
-KEY = "key"
+OPERATOR_PATIENCE = 2_000_000  # an operator goes elsewhere after a second: no longer is its call pursued
+HOLD_REFUSED = 4_000_000  # longer than that, and than its last submission can be under way
+MOST_REFUSED = 1_000  # orders whose refusal a head remembers
 HISTORY = "history"  # rows of what was acknowledged of an item, see `orders.py`
 REFUSALS = (HeldBy, InvalidOrder, ConflictingOrder, UndecidedOrder)
 
@@ -55,6 +58,7 @@
     at: int
     sent: int
     local: int  # the carrier's number
+    give_up_after: int
     numbers: list[int] = field(default_factory=list)  # one for each time that it was submitted
 
 
@@ -80,9 +84,9 @@
     by_id: dict[int, PendingCommand] = field(default_factory=dict)
     command_of: dict[int, int] = field(default_factory=dict)  # by the number of a submission
 
-    def add(self, what: Command, local: int, now: int) -> int:
+    def add(self, what: Command, local: int, now: int, give_up_after: int = GIVE_UP_AFTER) -> int:
         self.last_id += 1
-        self.by_id[self.last_id] = PendingCommand(what, now, now, local)
+        self.by_id[self.last_id] = PendingCommand(what, now, now, local, give_up_after)
         return self.last_id
 
     def submission(self, command_id: int, epoch: int, now: int) -> Submit:
@@ -121,13 +125,37 @@
                 self.settle(command_id, None)
 
     def expired(self, now: int) -> list[int]:
-        return [number for number, one in self.by_id.items() if now - one.at > GIVE_UP_AFTER]
+        return [number for number, one in self.by_id.items() if now - one.at > one.give_up_after]
 
     def due(self, now: int) -> list[int]:
         """Those that are to be submitted again."""
         return [number for number, one in self.by_id.items() if now - one.sent > RESUBMIT_AFTER]
 
 
+@dataclass(slots=True)
+class RefusedOrders:
+    """The orders that this replica refused lately as the head, by their text.
+
+    Another copy of one may be under way still, sent to another replica before.  It must not come into force
+    behind the refusal, so for a while such an order is not taken, and no answer is given: a late copy ends
+    there, and an operator who sends it again is heard once the time is over.
+    """
+
+    refused_at: dict[str, int] = field(default_factory=dict)
+
+    def add(self, body: str, now: int) -> None:
+        self.refused_at.pop(body, None)
+        self.refused_at[body] = now
+        for old in list(self.refused_at):
+            if now - self.refused_at[old] <= HOLD_REFUSED and len(self.refused_at) <= MOST_REFUSED:
+                break
+            del self.refused_at[old]
+
+    def holds(self, body: str, now: int) -> bool:
+        refused_at = self.refused_at.get(body)
+        return refused_at is not None and now - refused_at <= HOLD_REFUSED
+
+
 @dataclass(frozen=True, slots=True)
 class Decision:
     """The rows that a command sets, and its result.  `result` None: read when it is said."""
--- a/tests/lighthouse/test_order_timelines.py
+++ b/tests/lighthouse/test_order_timelines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from pathlib import Path
 from typing import Any
 
@@ -10,8 +11,9 @@
 from corekit import Core, Host
 from operators import Operator, order, plant, route
 
-from brackengate.lighthouse.actions import Store
+from brackengate.lighthouse.actions import Action, Answer, Store, Tell
 from brackengate.lighthouse.chain import Chain
+from brackengate.lighthouse.commands import OPERATOR_PATIENCE
 from brackengate.lighthouse.store import open_disk
 from brackengate.signals.items import Item
 from brackengate.signals.words import Amend, Configuration, Member, Read, Row, Submit, View
@@ -204,6 +206,41 @@
     assert mesh.read("new")["Revision"] == "r5"
 
 
+def test_nor_where_its_replica_does_not_hear_that_the_caller_has_gone() -> None:
+    mesh = Mesh()
+    early = order(route("new", 5, to="later"))
+    away = next(host for host in mesh.hosts if host is not mesh.head())
+    mesh.cut_off(away)
+    away.ask(Amend(early), lambda _: None, OPERATOR_PATIENCE)
+    mesh.passes(1)
+    sent = mesh.operator.send(early, [mesh.head()])
+    mesh.taken(order(plants=[plant("later", 3)]))
+    assert sent.status == 400
+    mesh.core.heal()
+    mesh.passes(12)
+    assert mesh.read("new") == {}
+
+
+def test_nor_by_a_copy_that_is_under_way() -> None:
+    """It is not taken for a while, and then it is when it is sent again."""
+    mesh = Mesh()
+    early = order(route("new", 5, to="later"))
+    refused = mesh.operator.send(early)
+    mesh.passes(0.1)
+    assert refused.status == 400
+    service = mesh.operator.send(order(plants=[plant("later", 3)]))
+    mesh.passes(0.1)
+    assert service.status == 200
+    other = next(host for host in mesh.hosts if host is not mesh.head())
+    other.withdraw(other.ask(Amend(early), lambda _: None))  # its submission is on the link
+    mesh.passes(1)
+    assert mesh.read("new") == {}
+    again = mesh.operator.send(early)
+    mesh.passes(6)
+    assert again.status == 200
+    assert mesh.read("new")["Revision"] == "r5"
+
+
 def test_a_submission_of_an_earlier_view_is_not_taken() -> None:
     """It may have lain in a queue, and its caller may have been refused since."""
     chain = Chain("a:80", 1, 60 * S, 0, 1, 0)
@@ -213,6 +250,33 @@
     assert chain.heard("b:80", Submit(8, Amend(FIRST), epoch=2), 0) != []
 
 
+def submitted(actions: Iterable[Action]) -> list[Submit]:
+    return [one.word for one in actions if isinstance(one, Tell) and isinstance(one.word, Submit)]
+
+
+def test_an_order_whose_caller_has_gone_is_not_submitted_again() -> None:
+    chain = Chain("b:80", 1, 60 * S, 0, 1, 0)
+    members = (Member("a:80", "first", 1), Member("b:80", "first", 1))
+    chain.viewed(View(2, members), "first", 0)
+    chain.ask(Amend(FIRST), 7, 0)
+    chain.ask(Amend(X), 8, 0)
+    chain.withdraw(7)
+    assert [one.what for one in submitted(chain.tick(S // 2))] == [Amend(X)]
+    assert [one.what for one in submitted(chain.viewed(View(3, members), "first", S))] == [Amend(X)]
+
+
+def test_an_order_that_waited_too_long_is_not_submitted_in_a_new_view() -> None:
+    """Its replica stood still, and hears of the view before anything else."""
+    chain = Chain("b:80", 1, 60 * S, 0, 1, 0)
+    members = (Member("a:80", "first", 1), Member("b:80", "first", 1))
+    chain.viewed(View(2, members), "first", 0)
+    chain.ask(Amend(FIRST), 7, 0, OPERATOR_PATIENCE)
+    assert [one.what for one in submitted(chain.viewed(View(3, members), "first", S))] == [Amend(FIRST)]
+    out = chain.viewed(View(4, members), "first", 3 * S)
+    assert Answer(7, None) in out
+    assert submitted(out) == []
+
+
 def test_an_invalid_order_beside_a_removal_is_in_force_in_no_part() -> None:
     """Through every replica, at the moment in which its service goes."""
     mesh = Mesh()
