--- a/benchmarks/snapshots.py
+++ b/benchmarks/snapshots.py
@@ -3,6 +3,7 @@
     python -m benchmarks.snapshots                          # 1,000 to 1,000,000 rows
     python -m benchmarks.snapshots --rows 1000 10000
     python -m benchmarks.snapshots --tree ../elsewhere      # the program of another checkout
+    python -m benchmarks.snapshots --restarts               # 1,000 orders while each member is killed in turn
 
 Three members start with so many keys on their disks, and claims go on at one of them; then a fourth replica
 starts with an empty disk.  Told of each size: the seconds that a member's start takes, the memory that it has
@@ -34,6 +35,7 @@
 PROBE_S = 0.002
 CLAIM_S = 0.02
 AT_ONCE = 20_000
+ORDERS, ORDER_S, KILL_S = 1_000, 1.0, 6.0
 ANSWER_S = 30.0  # a process that tells nothing for so long is said to stand still for so long
 SILENT = {
     "in": False,
@@ -116,7 +118,8 @@
             "peak": memory("VmHWM"),
         }
         self.longest = self.busiest = self.claim = 0.0
-        return told
+        state = getattr(chain, "state", None)
+        return told if state is None else {**told, "sum": [state.rows.count, state.rows.checksum]}
 
 
 async def child(path: str, claims: bool) -> None:
@@ -146,6 +149,37 @@
         print(json.dumps({"started": started, **probe.report()}), flush=True)
 
 
+async def operator() -> None:
+    """One order after the other, each sent to the next member after a second without an answer."""
+    from brackengate.signals.lines import Dialer
+    from brackengate.signals.words import Amend, CommandDone, Inquire, Line, Result
+
+    loop = asyncio.get_running_loop()
+    waits: dict[int, asyncio.Future[Any]] = {}
+
+    def heard(word: Line) -> None:
+        if isinstance(word, Result) and word.id in waits and not waits[word.id].done():
+            waits[word.id].set_result(word.result)
+
+    links = [Dialer((ip, INTERNAL), heard, lambda dialer: None) for ip in ADDRESSES[:3]]
+    taken, sent, longest, done = 0, 0, 0.0, CommandDone()
+    for version in range(1, ORDERS + 1):
+        body = json.dumps({"Apply": {"Plants": [{"Name": f"p{version % 50}", "Revision": f"r{version}"}]}})
+        begun, result = loop.time(), None
+        while result != done:
+            sent += 1
+            waits[sent] = loop.create_future()
+            links[sent % 3].send(Inquire(sent, Amend(body)))
+            result = (await asyncio.wait([waits[sent]], timeout=ORDER_S)) and (
+                waits[sent].result() if waits[sent].done() else None
+            )
+            if result != done:
+                await asyncio.sleep(0.02)
+        taken, longest = taken + 1, max(longest, loop.time() - begun)
+        await asyncio.sleep(0.02)
+    print(json.dumps({"taken": taken, "sent": sent, "longest": longest}), flush=True)
+
+
 # --- in the parent
 
 
@@ -288,6 +322,48 @@
     )
 
 
+def restarts(tree: Path, rows: int) -> None:
+    """Orders and claims while each member is killed and started in turn; then all must hold the same."""
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        script, env = str(Path(__file__).resolve()), {**os.environ, "PYTHONPATH": str(tree)}
+        subprocess.run([sys.executable, script, "--fill", str(folder / "0"), str(rows)], check=True, env=env)
+        for n in (1, 2):
+            shutil.copytree(folder / "0", folder / str(n))
+        members = [Process(tree, folder, n, True, claims=n == 0) for n in range(3)]
+        try:
+            for member in members:
+                member.report()
+            orders = subprocess.Popen([sys.executable, script, "--operator"], stdout=subprocess.PIPE, env=env)
+            while orders.poll() is None:
+                for n in range(3):
+                    time.sleep(KILL_S)
+                    if orders.poll() is None:
+                        members[n].end()
+                        members[n] = Process(tree, folder, n, True, claims=n == 0)
+                        print(f"member {n}: {_back(members[n])}", flush=True)
+            assert orders.stdout is not None
+            print(f"orders: {orders.stdout.read().decode().strip()}")
+            time.sleep(5)
+            print(f"rows and sums: {[member.report().get('sum') for member in members]}")
+        finally:
+            for member in members:
+                member.end()
+
+
+def _back(member: Process) -> str:
+    """From its start until it is a member with all that it owes."""
+    begun, seen = time.perf_counter(), Highest()
+    while True:
+        told = member.report()
+        seen.see(told)
+        if told["in"] or time.perf_counter() - begun > 60:
+            took = time.perf_counter() - begun
+            busy, sent = seen.told["busy"] * 1e3, seen.told["bytes"] / 1e6
+            return f"in again: {told['in']}, after {took:.1f} s, {sent:.2f} MB, busy for {busy:.0f} ms"
+        time.sleep(0.02)
+
+
 HEAD = (
     "      rows | start s  MiB | caught up s  MB sent | longest stop ms: new, members |"
     " highest MiB: new, members | longest claim ms"
@@ -312,10 +388,16 @@
     parser.add_argument("--limit", type=float, default=120.0, help="seconds that a copy may take")
     parser.add_argument("--child", help=argparse.SUPPRESS)
     parser.add_argument("--claims", action="store_true", help=argparse.SUPPRESS)
+    parser.add_argument("--restarts", action="store_true", help="200,000 keys")
+    parser.add_argument("--operator", action="store_true", help=argparse.SUPPRESS)
     parser.add_argument("--fill", nargs=2, help=argparse.SUPPRESS)
     told = parser.parse_args()
     if told.child:
         asyncio.run(child(told.child, told.claims))
+    elif told.operator:
+        asyncio.run(operator())
+    elif told.restarts:
+        restarts(told.tree.resolve(), 200_000)
     elif told.fill:
         fill(told.fill[0], int(told.fill[1]))
     else:
--- a/tests/lighthouse/test_disk_copies.py
+++ b/tests/lighthouse/test_disk_copies.py
@@ -180,6 +180,11 @@
     disk.close()
     assert (kept.index, kept.base, len(list(kept.rows))) == (29, None, 29)
     disk, kept = open_disk(str(killed(tmp_path)), first=False)  # it is of this form by now
+    held = ReplicaLog(kept.index)
+    held.load(kept.rows, kept.entries, kept.base)
+    disk.write([held.fold()])
+    disk.close()
+    disk, kept = open_disk(str(tmp_path.with_name("killed")), first=False)
     disk.close()
     assert (kept.index, kept.base, len(list(kept.rows))) == (29, None, 29)
 
