Test a sender that does not answer, and a piece of another place

Need: a copy must go on where a sender is mute, and take no piece of another place. Change: tests of both.

--- a/tests/lighthouse/test_copies.py
+++ b/tests/lighthouse/test_copies.py
@@ -202,6 +202,22 @@
     assert how == "leave" or len({addr for addr, _ in case.pieces}) > 1
 
 
+def test_a_sender_that_does_not_answer_is_passed_over() -> None:
+    """It is a member all along; it and the learner alone do not hear each other."""
+    case = Copies()
+    case.begin()
+    case.until(lambda: len(case.pieces) > 20)
+    sender = case.core.hosts[case.pieces[-1][0]]
+    case.core.cut(((sender.name, case.learner.name), (case.learner.name, sender.name)))
+    case.until(lambda: case.copied() >= 0, most=3_000_000)
+    assert len({addr for addr, _ in case.pieces}) == 2
+    case.core.heal()
+    case.until(lambda: case.is_in(case.learner))
+    case.core.run(case.core.now + 1_000_000)
+    case.alike()
+    assert anew(case.pieces) == 1 and sent(case.pieces) <= ROWS + 40
+
+
 @pytest.mark.parametrize("after", [1, 7, 30, 45])
 def test_power_lost_in_the_middle_of_a_copy_is_never_taken_for_a_whole_one(after: int) -> None:
     case = Copies()
--- a/tests/pilot/test_follower_copy.py
+++ b/tests/pilot/test_follower_copy.py
@@ -98,7 +98,8 @@
     sender, copy = Sender(), PublicCopy()
     copy.take(NOTHING, sender.piece(copy))
     asked, piece = copy.position, sender.piece(copy)
-    copy.take(copy.position, sender.piece(copy))
+    for _ in range(2):
+        copy.take(copy.position, sender.piece(copy))
     held = copy.position, copy.rows.count
     assert not copy.take(asked, piece)
     assert (copy.position, copy.rows.count) == held
