--- a/brackengate/emulator/mesh/checks.py
+++ b/brackengate/emulator/mesh/checks.py
@@ -7,11 +7,13 @@
 
 from bisect import bisect_right
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 from brackengate.emulator.checks import Broken, Record
+from brackengate.emulator.mesh import order_checks
 from brackengate.emulator.mesh.scenario import Limits
+from brackengate.emulator.mesh.versions import NO_VERSION, RouteVersions, Version
 
 PROMISES = (408, 421, 429, 503)
 PLANNED = ("term", "left")
@@ -33,15 +35,6 @@
     sent: str
 
 
-@dataclass(slots=True)
-class Version:
-    number: int
-    services: tuple[str, ...]  # none: dropped
-    offered: int
-    sound: bool
-    acked: int | None = None
-
-
 @dataclass(slots=True)
 class _State:
     down: set[str] = field(default_factory=set)
@@ -151,12 +144,15 @@
         self.done: dict[str, tuple[str, str, str]] = {}  # by seal: upstream, attempt, body
         self.ended: list[tuple[int, str, object, str, str, bool]] = []
         self.versions: dict[str, list[Version]] = defaultdict(list)
+        self._of_route: dict[str, RouteVersions] = {}
         self.calls: dict[int, list[Version]] = defaultdict(list)
         self.drains: dict[str, tuple[int, str]] = {}
         self.home: dict[str, str] = {}  # of upstreams
         self.reads: list[tuple[int, dict[str, tuple[int, tuple[str, ...]]]]] = []
         self.terms: dict[str, list[int]] = defaultdict(list)
         self.lives: dict[str, list[int]] = defaultdict(list)
+        self.replies: dict[int, list[tuple[int, int]]] = defaultdict(list)  # to an order: when, status
+        self.may_be_refused: set[int] = set()  # orders whose acknowledgement the gate does not ask for
         self.closing = self.back = 0
         for when, what, of in records:
             match what, of:
@@ -175,8 +171,12 @@
                     self.versions[name].append(made)
                     self.calls[call].append(made)
                 case "acked", (int(call),):
-                    for one in self.calls[call]:
+                    for one in self.calls.get(call, ()):  # an order without routes offers none
                         one.acked = when if one.acked is None else one.acked
+                case "said", (int(call), int(status)):
+                    self.replies[call].append((when, status))
+                case "may be refused", (int(call),):
+                    self.may_be_refused.add(call)
                 case "drains", (str(u), str(ip)):
                     self.drains[u] = (when, ip)
                 case "begins", (str(u), _, str(ip)):
@@ -198,13 +198,23 @@
     def may(self, route: str, sent: int, until: int) -> list[Version]:
         """The versions that may be in force for a request on a calm machine; version 0: none."""
         apply_time = int(self.limits.apply_time)
-        known = [one for one in self.versions[route] if one.sound and one.offered <= until]
-        least = max(
-            (one.number for one in known if one.acked is not None and one.acked + apply_time <= sent),
-            default=0,
-        )
-        found = [one for one in known if one.number >= least]
-        return found if least else [*found, Version(0, (), 0, True)]
+        versions = self.of_route(route)
+        least = versions.highest_acked(sent - apply_time)
+        found = versions.offered_from(least, until)
+        return found if least else [*found, NO_VERSION]
+
+    def of_route(self, route: str) -> RouteVersions:
+        """Its versions; asked for only when all is recorded."""
+        found = self._of_route.get(route)
+        if found is None:
+            found = self._of_route[route] = RouteVersions(self.versions[route])
+        return found
+
+
+def in_force(same: Iterable[Version]) -> list[Version]:
+    """Of the versions under one number, those that may be in force: the acknowledged one, else any."""
+    versions = list(same)
+    return [one for one in versions if one.acked is not None] or versions
 
 
 # --- the rules
@@ -301,9 +311,7 @@
     broken = Broken("ROUTE")
     for when, upstream, plant, attempt, _, _, _ in seen.ran:
         asked = seen.asked.get(attempt)
-        if asked is not None and not any(
-            plant in one.services for one in seen.versions[asked.route] if one.sound and one.offered <= when
-        ):
+        if asked is not None and seen.of_route(asked.route).allowing(plant).until(when) is None:
             broken.at(when, f"{attempt} on {asked.route} runs at {upstream} of {plant}")
     return broken
 
@@ -336,16 +344,12 @@
     shown: dict[tuple[str, int, str], tuple[int, int]] = {}  # life and route: least version shown, and when
     for when, attempt, plant, ran in sorted(handled):
         asked = seen.asked[attempt]
-        allows = [
-            one
-            for one in (*seen.versions[asked.route], Version(0, (), 0, True))
-            if one.sound and one.offered <= when and (plant in one.services if ran else not one.services)
-        ]
-        if not allows:
+        allows = seen.of_route(asked.route).allowing(plant if ran else "").until(when)
+        if allows is None:
             if not ran and seen.calm(asked.ip, asked.at, when):
                 broken.at(when, f"{attempt} on {asked.route} is answered 404")
             continue
-        newest, least = max(one.number for one in allows), min(one.number for one in allows)
+        least, newest = allows
         may = {one.number for one in seen.may(asked.route, asked.at, when)}
         if newest < min(may) and seen.calm(asked.ip, asked.at, when):
             what = f"runs at {plant}" if ran else "is answered 404"
@@ -375,18 +379,16 @@
         return broken
     when, held = seen.reads[-1]
     for name, versions in seen.versions.items():
-        sound = {one.number: one for one in versions if one.sound}
-        acked = max(
-            (one.number for one in sound.values() if one.acked is not None and one.acked <= when), default=0
-        )
+        sound = [one for one in versions if one.sound]
+        acked = max((one.number for one in sound if one.acked is not None and one.acked <= when), default=0)
         number, services = held.get(name, (0, ()))
         if number:
-            sent = sound.get(number)
-            if sent is None or set(sent.services) != set(services):
+            sent = in_force(one for one in sound if one.number == number)
+            if not any(set(one.services) == set(services) for one in sent):
                 broken.at(when, f"{name} is read back as version {number}, {services}, which nobody sent")
             elif number < acked:
                 broken.at(when, f"{name} is read back as version {number}; {acked} was acknowledged")
-        elif acked and not any(not one.services and one.number >= acked for one in sound.values()):
+        elif acked and not any(not one.services and one.number >= acked for one in sound):
             broken.at(when, f"{name} is missing; version {acked} was acknowledged")
     return broken
 
@@ -459,8 +461,15 @@
     for call, items in seen.calls.items():
         first = items[0]
         until = first.offered + ACK
-        if not first.sound or until > seen.last or (first.acked is not None and first.acked <= until):
+        if (
+            not first.sound
+            or call in seen.may_be_refused
+            or until > seen.last
+            or (first.acked is not None and first.acked <= until)
+        ):
             continue
+        if any(status == 200 and when <= until for when, status in seen.replies[call]):
+            continue  # it was acknowledged, and the word of it was lost on its way
         if all(seen.touch.settled(when) for when in (first.offered, first.offered + ONE, until)):
             broken.at(until, f"call {call} is not acknowledged")
     return broken
@@ -478,7 +487,8 @@
     """Every rule, broken or not."""
     rules = (mixed, unasked, twice, refused, denied, route, drain, config, read_back, lost, budget)
     found: dict[str, Broken] = {}
-    for one in (*(rule(seen) for rule in rules), recover(seen), acks(seen), no_crash(seen)):
+    orders = (order_checks.confirmed_twice, order_checks.refused_again, order_checks.outdated_after_start)
+    for one in (*(rule(seen) for rule in (*rules, *orders)), recover(seen), acks(seen), no_crash(seen)):
         whole = found.setdefault(one.rule, one)
         if whole is not one:
             whole.count += one.count
