--- a/tests/lighthouse/test_disk_copies.py
+++ b/tests/lighthouse/test_disk_copies.py
@@ -141,6 +141,20 @@
     disk.close()
 
 
+def test_entries_that_a_replica_drops_do_not_come_back(older: Path) -> None:
+    """Another entry stands under their index by now."""
+    disk, kept = open_disk(str(older), first=True)
+    log, learner = ReplicaLog(kept.index), Learner()
+    log.load(kept.rows, kept.entries, kept.base)
+    disk.write([keep_committed(log, learner)])
+    assert list(open_disk(str(killed(older)), first=True)[1].entries) == []
+    log.take(entry(40, "found", ["g", "2"]))
+    disk.write([log.store([entry(40, "found", ["g", "2"])])])
+    kept = open_disk(str(killed(older)), first=True)[1]
+    assert (kept.index, kept.base, list(kept.entries)) == (40, 39, [entry(40, "found", ["g", "2"])])
+    disk.close()
+
+
 def test_an_entry_that_is_spoilt_is_found(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
     folder = tmp_path / "data"
     disk, _ = open_disk(str(folder), first=True)
