--- a/tests/pilot/test_entry.py
+++ b/tests/pilot/test_entry.py
@@ -22,7 +22,7 @@
 from brackengate.pilot.gate import Beat, Gate, Operations, State
 from brackengate.pilot.hop import HOP, Said, Step, passed_on
 from brackengate.pilot.verdict import own_judge
-from brackengate.signals.words import Claim, CommandDone, HeldBy, Unclaim
+from brackengate.signals.words import Claim, CommandDone, HeldBy, InvalidOrder, Unclaim
 
 S = 1_000_000
 SEAL = b"x-brackengate-server-seal"
@@ -224,6 +224,12 @@
         world.core(HeldBy("other", "x"))
         self.assertThat([world.own.jobs, len(world.gates.jobs)], Equals([[], 1]))
 
+    def test_any_other_word_on_a_claim_is_no_grant(self) -> None:
+        world = World()
+        first = world.comes("k")
+        world.core(InvalidOrder("what is asked is not known here"))
+        self.assertThat([first.said, world.own.jobs], Equals(["unclaimed", []]))
+
     def test_a_claim_that_is_granted_late_runs_nothing_by_itself(self) -> None:
         world = World()
         world.comes("k")
