Keep a seed that comes up late at the very first start in the first view

Cause: on a slow machine the third control replica came up 1 to 2 s late, the first view had shrunk to two by then, and the next loss stopped writes until it was admitted (seen as a test of whole processes that failed beside other work, tests/pilot/test_processes.py). Change: at the very first start a member that was never heard gets 2 s more to come up. Any later start is as before, and leases do not depend on it.

--- a/brackengate/lighthouse/failure_detector.py
+++ b/brackengate/lighthouse/failure_detector.py
@@ -14,6 +14,7 @@
 
 PING = 150_000  # between two pings to a peer
 DEAD = 500_000  # without an answer to a ping
+FIRST_START = 2_000_000  # at the system's very first start, for a member that was never heard to come up
 LEASE = 600_000  # from the sending of a ping that was answered
 GAP = 350_000  # this process stood still: nothing that it believes of the others is fresh
 APART = 500_000  # two that do not hear each other for so long, by their own word
--- a/brackengate/lighthouse/replica.py
+++ b/brackengate/lighthouse/replica.py
@@ -9,6 +9,7 @@
 from brackengate.lighthouse.actions import Action, Store
 from brackengate.lighthouse.chain import Chain
 from brackengate.lighthouse.commands import GIVE_UP_AFTER
+from brackengate.lighthouse.failure_detector import FIRST_START
 from brackengate.lighthouse.view import NOBODY, Agreement
 from brackengate.signals.words import (
     Ack,
@@ -74,8 +75,9 @@
         self.chain = self.chain_kind(me, min_replicas, window, kept.index, snapshot_epoch, now)
         self.chain.incarnation = kept.incarnation
         self.chain.load(kept.rows, kept.entries, kept.base, kept.bucket, now)
+        patient = FIRST_START if self._first else 0
         for addr in (*seeds, *(member.addr for member in self.agreement.view.members)):
-            self.agreement.meet(addr, now)
+            self.agreement.meet(addr, now + patient)
 
     def start(self, now: int) -> list[Action]:
         out: list[Action] = []
--- a/tests/lighthouse/test_membership.py
+++ b/tests/lighthouse/test_membership.py
@@ -9,8 +9,9 @@
 from brackengate.lighthouse.actions import Action, Store, Tell
 from brackengate.lighthouse.ballots import NOBODY, ViewChange, quorum
 from brackengate.lighthouse.contact import LogStatus
-from brackengate.lighthouse.failure_detector import FORGOTTEN, LEASE
+from brackengate.lighthouse.failure_detector import FIRST_START, FORGOTTEN, LEASE
 from brackengate.lighthouse.membership import MembershipFacts, next_members
+from brackengate.lighthouse.replica import FIRST, Replica, StoredState
 from brackengate.lighthouse.view import ADMISSION_LAG, Agreement
 from brackengate.signals.words import Accept, Line, Member, Ping, Pong, Prepare, Promise, View
 
@@ -244,3 +245,20 @@
     for core.now in range(0, FORGOTTEN + 600_000, 300_000):
         core.agreement.tick(core.now, core.log)
     assert sorted(core.agreement.peers) == ["B", "C"]
+
+
+def test_a_seed_that_comes_up_late_at_the_first_start_keeps_its_membership() -> None:
+    """Else the first view shrinks to those that were quick, and the next loss stops writes."""
+    replica = Replica("A", "", StoredState(FIRST), ["A", "B", "C"], True, 2, 60_000_000, 0)
+    begun: int | None = None
+    actions = replica.start(0)
+    for now in range(50_000, 4_000_000, 50_000):
+        actions = replica.tick(now)
+        for action in [one for one in actions if isinstance(one, Tell) and one.addr == "B"]:
+            if isinstance(action.word, Ping):
+                replica.heard("B", Pong(1, action.word.sent, False, FIRST), now)
+        replica.heard("B", Ping(FIRST, 1, caught_up_epoch=1, hears=("A", "C"), sent=now), now)
+        stores = [one for one in actions if isinstance(one, Store)]
+        if begun is None and any(isinstance(one.word, Prepare) for store in stores for one in store.tells):
+            begun = now
+    assert begun is not None and FIRST_START < begun < FIRST_START + 1_500_000
