Read the end of a cut body as such in the review's stand-ins

Cause: a chunked body that ends with its connection was read as a wrong number. Change: the reader of bodies that the cases share raises the error of an incomplete read.

--- a/review/common/bench_mesh.py
+++ b/review/common/bench_mesh.py
@@ -229,14 +229,21 @@
     if "chunked" not in fields.get("transfer-encoding", "").lower():
         return await reader.readexactly(int(fields.get("content-length", "0")))
     pieces = []
-    while size := int((await reader.readline()).split(b";")[0], 16):
+    while size := int((await read_line(reader)).split(b";")[0], 16):
         pieces.append(await reader.readexactly(size))
         await reader.readexactly(2)
-    while (await reader.readline()).strip():
+    while (await read_line(reader)).strip():
         pass
     return b"".join(pieces)
 
 
+async def read_line(reader: asyncio.StreamReader) -> bytes:
+    line = await reader.readline()
+    if not line.endswith(b"\n"):
+        raise asyncio.IncompleteReadError(line, None)
+    return line
+
+
 async def call(
     address: tuple[str, int],
     method: str,
