--- a/review/3/case.py
+++ b/review/3/case.py
@@ -11,7 +11,7 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "common"))
 
-from bench_mesh import CannotRun, Deployment, Machine, Record, call, route  # noqa: E402
+from bench_mesh import CannotRun, Deployment, Machine, Record, call, route, run_case  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 NAME = "fare lookup" if TROUBLE else "fare-lookup"
@@ -60,16 +60,5 @@
     return 0
 
 
-def main() -> int:
-    record = Record(HERE)
-    try:
-        return asyncio.run(play(record))
-    except (CannotRun, OSError) as error:
-        record(f"cannot run: {error}")
-        return 2
-    finally:
-        record.close()
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(HERE, play))
--- a/review/common/bench_mesh.py
+++ b/review/common/bench_mesh.py
@@ -16,9 +16,11 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -422,6 +424,19 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def run_case(folder: Path, play: Callable[[Record], Coroutine[None, None, int]]) -> int:
+    """Play a case and return its exit code: 1 the rule was broken, 0 it held, 2 the case could not run."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # ends the processes on its way out
+    record = Record(folder)
+    try:
+        return asyncio.run(play(record))
+    except Exception as error:  # anything else than a broken rule means that the case did not run
+        record(f"cannot run: {error!r}")
+        return 2
+    finally:
+        record.close()
+
+
 def route(name: str, prefix: str, kind: str, plant: str, cutoff: str, setpoint: str) -> dict[str, object]:
     """A route as the operator sends it."""
     return {
