A member that joined again sends followers the order that both have missed

Cause: ReplicaLog.apply_copy kept the entries of a copy for learners and not for followers. recent_public had a hole whose range it still claimed to cover, so a follower in front of it was told the newest index without the rows.

Evidence: two log lines were added, as the logs could not tell the hypotheses apart.

Change: one place keeps an entry, committed or copied; RecentEntries holds the range that it covers, and who lags by more gets a copy. One constructed log in test_followers.py claimed indexes without entries; it now says so (extend_to), and checks the same.

--- a/brackengate/control/chain.py
+++ b/brackengate/control/chain.py
@@ -647,7 +647,7 @@
         """The public changes after this index; None if the follower needs a copy."""
         if index > self.commit_index:
             return PublicChanges(index, ())  # it is ahead of this member: nothing to send yet
-        entries = self.replica_log.recent_public.all_after(index)
+        entries = self.replica_log.recent_public.all_between(index, self.commit_index)
         return public_changes(self.commit_index, entries) if entries is not None else None
 
     def public_copy_piece(self, request: SnapshotRequest) -> SnapshotPiece | None:
--- a/brackengate/control/log.py
+++ b/brackengate/control/log.py
@@ -125,10 +125,16 @@
                 del self.overlay[row[0], row[1]]
         self.prepared.forget(entry.staged)
         self.state.index = entry.index
+        return self._keep_recent(entry)
+
+    def _keep_recent(self, entry: Entry) -> Entry:
+        """Keeps a committed entry for those that lag behind; returns it with its public rows only."""
         self.recent.add(entry)
         public = Entry(entry.index, tuple(row for row in entry.rows if row[0] in PUBLIC_KINDS), entry.staged)
         if public.rows:
             self.recent_public.add(public)
+        else:
+            self.recent_public.extend_to(entry.index)
         return public
 
     def drop_uncommitted(self) -> None:
@@ -142,7 +148,7 @@
 
     def has_entries_after(self, index: int) -> bool:
         """Whether the entries that follow this index are in memory."""
-        return index >= self.state.index or self.recent.reaches(index)
+        return index >= self.state.index or self.recent.covers(index, self.state.index)
 
     def entries_after(self, index: int, until: int) -> list[tuple[Entry, ...]]:
         """The entries between these indexes, in batches of one message each.  See `has_entries_after`."""
@@ -164,6 +170,7 @@
         self.rows_committed = True
         self.index = 0
         self.recent.reset(index)
+        self.recent_public.reset(index)
 
     def apply_copy(self, index: int, changes: Iterable[tuple[int, Row]], entries: Iterable[Entry]) -> None:
         """Applies the changes of one piece of a copy, which brings all rows held to this index."""
@@ -171,7 +178,9 @@
             self.state.set(at, row)
             self._index_item(*row)
         for entry in entries:
-            self.recent.add(entry)
+            self._keep_recent(entry)
+        self.recent.extend_to(index)
+        self.recent_public.extend_to(index)
         self.state.index = self.index = index
 
     # --- stores
--- a/brackengate/control/role.py
+++ b/brackengate/control/role.py
@@ -86,6 +86,7 @@
         self._pending: dict[int, Callable[[Any], None]] = {}
         self._last_command = 0
         self._logged = 0  # epoch of the last view that was logged
+        self._was_ready = False  # as last logged
         self._inner: asyncio.Server | None = None
         self._ticker: asyncio.TimerHandle | None = None
         self._slice_scheduled = False  # a slice of longer work is due
@@ -170,6 +171,21 @@
             self._logged = view.epoch
             chain = ", ".join(member.addr for member in view.members)
             log.info("lighthouse: view %d, from head to tail: %s", view.epoch, chain)
+        self._log_readiness()
+
+    def _log_readiness(self) -> None:
+        """Logs when followers can be served, or no longer, and how far back the changes for them go."""
+        chain = self.replica.chain
+        if chain.ready == self._was_ready:
+            return
+        self._was_ready = chain.ready
+        if chain.ready:
+            start = chain.replica_log.recent_public.start
+            log.info(
+                "lighthouse: ready at index %d, with changes for followers from %d on", chain.index, start
+            )
+        else:
+            log.info("lighthouse: not ready for followers, at index %d", chain.index)
 
     # --- actions
 
--- a/brackengate/control/transfer.py
+++ b/brackengate/control/transfer.py
@@ -47,7 +47,7 @@
     position = request.position
     if position.index > index and position.bucket > 0:
         return None
-    anew = position.bucket == 0 or not recent.reaches(position.index)
+    anew = position.bucket == 0 or not recent.covers(position.index, index)
     if anew:
         position = SnapshotPosition(0, index)
     entries, all_of_them = recent.after(position.index, PIECE_ROWS, PIECE_BYTES)
--- a/brackengate/proxy/control_client.py
+++ b/brackengate/proxy/control_client.py
@@ -288,7 +288,9 @@
         elif isinstance(message, Heartbeat):
             self._on_heartbeat(link, message)
         elif isinstance(message, Changes):
-            self._establish(link)
+            self._establish(
+                link, message.index, f"{len(message.rows)} rows, {len(message.staged)} staged changes"
+            )
             self.snapshot.restart()
             self._take_changes(link, message)
         elif isinstance(message, StageOffer):
@@ -298,7 +300,7 @@
             if wanted is not None:
                 link.send(StageRequest(message.id, wanted))
         elif isinstance(message, SnapshotPiece):
-            self._establish(link)
+            self._establish(link, message.position.index, "a snapshot")
             self._receive_piece(link, message)
 
     def _receive_piece(self, link: ReplicaLink, piece: SnapshotPiece) -> None:
@@ -334,8 +336,11 @@
             self._on_changed(changed)
         self.on_freshness_changed()
 
-    def _establish(self, link: ReplicaLink) -> None:
-        """The replica serves this proxy: follow it, and send it all pending commands."""
+    def _establish(self, link: ReplicaLink, index: int, content: str) -> None:
+        """The replica serves this proxy: follow it, and send it all pending commands.
+
+        `index`, `content`: what its first message brings this proxy to, and by what.
+        """
         if link.established:
             return
         link.established = True
@@ -344,6 +349,8 @@
             if old is not None:
                 old.close()
         self._candidates = []
-        log.info("follow: following %s, from index %d", link.addr, self.table.index)
+        log.info(
+            "follow: following %s, from index %d to %d by %s", link.addr, self.table.index, index, content
+        )
         for number, pending in self._pending.items():
             link.send(FollowerCommand(number, pending.command))
--- a/tests/control/simulated_cluster.py
+++ b/tests/control/simulated_cluster.py
@@ -5,7 +5,8 @@
 they arrive together when it is released.
 
 At every step of every run, each replica that serves followers is checked: any view that was agreed `LEASE_US`
-ago or earlier must be in force there.
+ago or earlier must be in force there, and a follower that stopped at an earlier public row must get all later
+ones.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 import heapq
 import random
 import shutil
+from collections import deque
 from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any
@@ -29,6 +31,7 @@
     Send,
     Store,
 )
+from brackengate.control.chain import Chain
 from brackengate.control.commands import GIVE_UP_AFTER_US
 from brackengate.control.failure_detector import LEASE_US
 from brackengate.control.replica import FIRST_INCARNATION, Replica, StoredState
@@ -38,10 +41,20 @@
 from standins.mesh import spoil
 
 TICK, NET, SYNC = 50_000, 900, 600
+FOLLOWER_INDEXES = 16  # at which followers are assumed to have stopped: those of the last public rows
 WINDOW = 60_000_000
 _decode = msgspec.json.Decoder(Message).decode
 
 
+def lacked_rows(chain: Chain, stopped_at: int) -> set[tuple[str, str]]:
+    """The public rows after this index that a follower which stopped there is not sent."""
+    changes = chain.changes_since(stopped_at)
+    if changes is None:
+        return set()  # it gets a copy
+    sent = {(kind, name) for kind, name, _ in changes.rows}
+    return {name for name, (index, _) in chain.published.items() if stopped_at < index} - sent
+
+
 class FileState:
     """A disk backed by real files.  Each new process opens a copy of the folder that the last one left."""
 
@@ -86,6 +99,7 @@
         self.staged: list[tuple[int, str]] = []  # deliveries: start time and order id
         self._queue: list[Store] = []
         self._writing = False
+        self._offers_checked: tuple[int, int, int] | None = None  # epoch, generation and public index
 
     def start(self, first: bool = False) -> None:
         self.generation += 1
@@ -160,6 +174,20 @@
             assert all(
                 cluster.now - since <= LEASE_US for since in newer
             ), f"{cluster.now} us: {self.name} serves by view {epoch}; agreed: {cluster.agreed}"
+            self._assert_offers_every_change(replica.chain)
+
+    def _assert_offers_every_change(self, chain: Chain) -> None:
+        """Checks that no follower is told a newer index without a row that it lacks."""
+        state = (chain.view.epoch, chain.generation, chain.public_index)
+        if state == self._offers_checked:
+            return
+        self._offers_checked = state
+        stops = self.cluster.public_indexes
+        if chain.public_index not in stops:
+            stops.append(chain.public_index)
+        for stopped_at in stops:
+            lacks = lacked_rows(chain, stopped_at)
+            assert not lacks, f"{self.cluster.now} us: {self.name} skips {lacks} after index {stopped_at}"
 
     def do(self, actions: Iterable[Action]) -> None:
         for action in actions:
@@ -244,6 +272,7 @@
         self.seeds = list(self.hosts)[:seeds]
         self.cuts: set[tuple[str, str]] = set()
         self.agreed: dict[int, int] = {}  # epochs, and when each was first known
+        self.public_indexes: deque[int] = deque(maxlen=FOLLOWER_INDEXES)
         self.served: dict[str, int] = {}  # the last time at which each host could serve followers
         self.holds: set[tuple[str, str]] = set()  # links whose messages are queued
         self._queues: list[tuple[Host, str, bytes, int]] = []  # with the link generation
--- a/tests/control/test_followers.py
+++ b/tests/control/test_followers.py
@@ -112,7 +112,9 @@
 
 def test_the_cache_is_bounded_however_many_indexes_followers_start_from() -> None:
     made = replica(40)
-    made.chain.replica_log.recent_public.reset(0)
+    recent = made.chain.replica_log.recent_public
+    recent.reset(0)
+    recent.extend_to(made.chain.index)
     messages = FollowerMessages(made.chain)
     for index in range(40):
         changes = messages.missed_since(index)
--- a/tests/emulator/test_mesh_copies.py
+++ b/tests/emulator/test_mesh_copies.py
@@ -10,6 +10,12 @@
 from brackengate.proxy.snapshot_receiver import SnapshotReceiver
 
 
+@pytest.mark.parametrize("seed", [10, 14])
+def test_a_proxy_that_follows_a_rejoined_member_has_every_acknowledged_change(seed: int) -> None:
+    """Guards against `review/7`.  The seeds are two of ten that broke CONFIG, of the first thirty."""
+    assert_no_violations(run_scenario("rejoined-quiet.toml", seed=seed))
+
+
 @pytest.mark.parametrize("name", ["snapshot-under-way", "lost-claimant"])
 def test_hard_case_keeps_every_rule_with_small_snapshot_pieces(
     name: str, monkeypatch: pytest.MonkeyPatch
