The fleet's demo closes its stand-ins, and writes nothing to standard error at its end

Cause: the demo left its front, discovery and upstreams open when its event loop ended. A call of the next tier that ran out of time left its connection open, too.

Change: Demo stops all that it started; Upstream.kill resets its own connections; _call_below closes a connection that it does not keep.

--- a/brackengate/demo.py
+++ b/brackengate/demo.py
@@ -140,6 +140,8 @@
         self._port, self._rate, self._sets = port, rate, sets
         self._console = Console()
         self._upstreams: list[Upstream] = []
+        self._lists: list[Discovery] = []
+        self._front: Front | None = None
         self._fleets: list[FleetProcess] = []
         self._seen: dict[str, int] = {}
 
@@ -167,10 +169,20 @@
             return 1
         finally:
             await asyncio.gather(*(fleet.stop() for fleet in self._fleets))
+            await self._stop_standins()
             shutil.rmtree(folder, ignore_errors=True)
 
+    async def _stop_standins(self) -> None:
+        """Closes their connections: one that outlives its event loop is reported on standard error."""
+        if self._front is not None:
+            await self._front.stop()
+        for upstream in self._upstreams:
+            await upstream.kill()
+        for one in self._lists:
+            await one.stop()
+
     async def _start(self, folder: Path) -> Front:
-        lists = [await Discovery().start(), await Discovery().start()]
+        lists = self._lists = [await Discovery().start(), await Discovery().start()]
         memories = {zone: KeyMemory() for zone in ZONES}
         for group, zone in enumerate(ZONES):
             lower = await Upstream(f"knjizenje-{zone}", Shape(8, 32, 12, 0.5), memories[zone]).start()
@@ -191,7 +203,7 @@
         rows = await above.start(self._sets)
         host, _, port = rows[0]["says"]["addresses"][0].rpartition(":")
         try:
-            front = await Front([(host, int(port))]).start(self._port)
+            front = self._front = await Front([(host, int(port))]).start(self._port)
         except OSError as error:
             raise CannotShow(f"the front cannot listen on port {self._port}: {error.strerror}") from None
         try:
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -112,6 +112,9 @@
         if self._server is not None:
             self._server.close()
         self.reset()
+        for _, writer in self._below:
+            http.reset(writer)
+        self._below.clear()
 
     def reset(self) -> None:
         for writer in list(self._writers):
@@ -255,6 +258,8 @@
         safe = message.headers.get("x-lane", "") in self.safe
         data = http.request("GET" if safe else "POST", "/api", headers, b"" if safe else message.body)
         assert self.below is not None
+        pair: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+        answer: http.Message | None = None
         try:
             async with asyncio.timeout(left_ms / 1000):
                 pair = self._below.pop() if self._below else await asyncio.open_connection(*self.below)
@@ -262,10 +267,11 @@
                 answer = await http.read(pair[0])
         except (OSError, http.Broken, TimeoutError):
             return False
-        if answer is not None and answer.keep_alive:
-            self._below.append(pair)
-        else:
-            pair[1].close()
+        finally:
+            if pair is not None and answer is not None and answer.keep_alive:
+                self._below.append(pair)
+            elif pair is not None:
+                pair[1].close()
         return answer is not None and answer.status == 200
 
     def _bear(self, work_s: float) -> None:
