A test of xds waits for both responses that it judges

Cause: the control service sends endpoints and routes in two responses.

Change: it waits for the second version too. What it asserts is unchanged.

--- a/tests/xds/test_stream.py
+++ b/tests/xds/test_stream.py
@@ -439,6 +439,7 @@
             )
         )
         await bench.until(lambda: bench.pools.serving_count() == 1)
+        await bench.until(lambda: len(bench.store.history) == 2)  # the routes come in a second response
         assert [route.name for route in bench.store.active.routes] == ["rest"]
         assert [v.state for v in bench.store.history] == [State.IN_USE, State.WAITING]
         caller = await bench.caller()
