--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,105 @@
+"""The soak of the mesh: its plan keeps to what may be lost at once, its judge sees each broken rule."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from itertools import pairwise
+from pathlib import Path
+
+import pytest
+
+from standins.soak.__main__ import soak
+from standins.soak.plan import CALM_END_S, SETTLING_S, Action, draw
+from standins.soak.records import Attempt, ConfigRead, Operation, Order, Probe, Records, Trouble, violations
+
+SEED, SECONDS = 20261204, 30.0
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_a_plan_loses_one_control_replica_at_once_and_ends_in_calm(seed: int) -> None:
+    plan = draw(seed, 60.0, core=3, proxies=6)
+    assert len(plan) > 5 and plan == draw(seed, 60.0, core=3, proxies=6)
+    assert all(one.ends < 60.0 - CALM_END_S for one in plan)
+    core = [one for one in plan if one.is_core]
+    assert all(after.at >= before.ends + SETTLING_S for before, after in pairwise(core))
+
+
+def test_plans_have_every_action_series_and_overlaps() -> None:
+    plans = [draw(seed, 60.0, core=3, proxies=6) for seed in range(40)]
+    assert {(one.action, one.is_core) for plan in plans for one in plan} == {
+        *((action, True) for action in Action),
+        *((action, False) for action in Action if action is not Action.WIPE),
+    }
+    pairs = [(a, b) for plan in plans for a, b in pairwise(plan)]
+    assert sum(b.at < a.ends for a, b in pairs) > 100
+
+
+def answered(id_: str = "a1", key: str = "k1", proxy: int = 0, at: float = 10.0, body: str = "") -> Operation:
+    body = body or f"i-1 {id_}"
+    return Operation(key, [Attempt(id_, key, proxy, at, at + 0.1, 200, body.encode())])
+
+
+def unanswered(records: Records, planned: bool) -> None:
+    records.operations.append(Operation("", [Attempt("a2", "", 1, 10.0, 10.1)]))
+    records.runs.append(("a2", ""))
+    records.troubles.append(Trouble(False, 1, 10.05, 10.5, planned))
+
+
+def old_read(records: Records) -> None:
+    records.orders.append(Order(3, 7, 10.0))
+    records.reads.append(ConfigRead(12.5, {3: 6}))
+
+
+def missing_route(records: Records, disturbed: bool = False) -> None:
+    records.orders.append(Order(3, 7, 10.0))
+    records.probes.append(Probe(3, 1, 12.5, 404))
+    if disturbed:
+        records.troubles.append(Trouble(False, 1, 9.0, 10.0, False))
+
+
+BROKEN: dict[str, Callable[[Records], object]] = {
+    "PROCESS": lambda records: records.process_faults.append("core-1 ended by itself with 1"),
+    "TWICE": lambda records: records.runs.append(("a3", "k1")),
+    "TWICE: k2 was answered": lambda records: records.operations.append(answered("b", "k2")),
+    "MIXED: b got": lambda records: records.operations.append(answered("b", "", body="i-1 a1")),
+    "MIXED: k1 has two": lambda records: records.operations[0].attempts.append(
+        Attempt("a9", "k1", 0, 11.0, 11.1, 200, b"i-2 a1")
+    ),
+    "LOST": lambda records: unanswered(records, planned=True),
+    "UNSERVED": lambda records: records.operations.append(Operation("", [Attempt("c", "", 0, 1.0, 22.0)])),
+    "CONFIG: a read": old_read,
+    "CONFIG: proxy 1 answers 404": missing_route,
+}
+ALLOWED: dict[str, Callable[[Records], object]] = {
+    "nothing": lambda records: None,
+    "a request lost with a process that was killed": lambda records: unanswered(records, planned=False),
+    "a proxy that was disturbed just before": lambda records: missing_route(records, disturbed=True),
+}
+
+
+def of_one_good_operation() -> Records:
+    return Records(operations=[answered()], runs=[("a1", "k1")])
+
+
+@pytest.mark.parametrize("rule", BROKEN)
+def test_each_broken_rule_is_seen(rule: str) -> None:
+    records = of_one_good_operation()
+    BROKEN[rule](records)
+    found = violations(records)
+    assert len(found) == 1 and found[0].startswith(rule)
+
+
+@pytest.mark.parametrize("what", ALLOWED)
+def test_what_is_allowed_is_no_violation(what: str) -> None:
+    records = of_one_good_operation()
+    ALLOWED[what](records)
+    assert violations(records) == []
+
+
+@pytest.mark.alone
+def test_a_short_soak_breaks_no_rule(tmp_path: Path) -> None:
+    """Longer ones by hand: `python -m standins.soak --runs 50`."""
+    report = asyncio.run(asyncio.wait_for(soak(SEED, SECONDS, 3, 4, tmp_path), 120))
+    assert report.violations == []
+    assert report.requests > 300 and report.restarts > 0 and report.orders > 5
