--- a/brackengate/versions/store.py
+++ b/brackengate/versions/store.py
@@ -226,6 +226,10 @@
             actions.append(Save(self.active, self.in_use))
         return actions
 
+    def _with_latest_upstreams(self, base: Snapshot) -> Snapshot:
+        """`base` with the source's latest upstreams; those of pools that the source lacks are draining."""
+        return with_current_upstreams(base, base, self._latest_received)
+
     def _apply_upstreams(self, candidate: Candidate, earlier: Snapshot) -> list[Action]:
         """Apply the source's upstreams to the routes and pools in use."""
         assert self.in_use is not None
@@ -274,7 +278,7 @@
             actions.append(Save(self.active, self.in_use))
         if self._waiting is not None and self._waiting_due and now >= self._waiting_due:
             waiting, self._waiting = self._waiting, None
-            actions += self._put_into_use(now, waiting, waiting.snapshot)
+            actions += self._put_into_use(now, waiting, self._with_latest_upstreams(waiting.snapshot))
         return actions
 
     def record_answer(self, now: int, failed: bool) -> list[Action]:
@@ -331,12 +335,21 @@
         return "", [Apply(snapshot, version, now), Save(snapshot, version)]
 
     def release(self, now: int) -> tuple[str, list[Action]]:
-        """Remove the pin; the version that waits comes into use."""
-        if self.pinned is None:
+        """Remove the pin; the version that waits comes into use.
+
+        Pools that only the pinned version has leave, also where it stays in use or is restored later.
+        """
+        if self.pinned is None or self.in_use is None:
             return "no version is pinned", []
         self.pinned = None
+        before, self.active = self.active, self._with_latest_upstreams(self.active)
+        self._last_good_active = self.active
         waiting, self._waiting = self._waiting, None
-        return "", self._put_into_use(now, waiting, waiting.snapshot) if waiting is not None else []
+        if waiting is not None:
+            return "", self._put_into_use(now, waiting, self._with_latest_upstreams(waiting.snapshot))
+        if self.active == before:
+            return "", []
+        return "", [Apply(self.active, self.in_use, now), Save(self.active, self.in_use)]
 
     def _add_to_history(self, version: Version) -> None:
         self.history.append(version)
