xDS: a route that is made from its virtual host's name must have a name of the right form

Cause: names of routes are checked where they are told; the route that ends a virtual host ("HOST.none") is made from the host's name and was not.

Change: both go through one check, with the pattern of endpoints' names, which stood there twice.

--- a/brackengate/xds/resources.py
+++ b/brackengate/xds/resources.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterator
 from typing import Any
 
@@ -29,6 +30,8 @@
 SLICE = 250  # endpoints translated before others have a turn
 MOST_ENDPOINTS = 50_000
 MOST_CLUSTERS = 1000  # whose rows are kept
+NAME_PATTERN = re.compile(r"[!-~]{1,128}")  # of routes and upstreams, as in the installation file
+NAME_RULE = "a name has 1 to 128 visible ASCII characters"
 
 TABLE: tuple[tuple[str, str, str], ...] = (
     ("Cluster.name", "used", "the pool's name"),
@@ -277,8 +280,8 @@
     host = f"[{sock.address}]" if ":" in sock.address else sock.address
     where = f"{host}:{sock.port_value}"
     name = told.endpoint.hostname or where
-    if not 1 <= len(name) <= 128 or not all("!" <= c <= "~" for c in name):
-        out.fault(f"{where}: a name has 1 to 128 visible ASCII characters, not {name[:140]!r}")
+    if NAME_PATTERN.fullmatch(name) is None:
+        out.fault(f"{where}: {NAME_RULE}, not {name[:140]!r}")
         return None
     health = health_check_pb2.HealthStatus
     serving = told.health_status in (health.UNKNOWN, health.HEALTHY, health.DEGRADED)
@@ -342,7 +345,9 @@
             name = (route.name or f"{host.name or 'host'}.{i}") + tail
             flat.append(_route(route, name, (only,) if only else (), out))
         if only and domain != "*":
-            flat.append(Route(name=f"{host.name or 'host'}.none{tail}", host=(only,)))
+            rest = f"{host.name or 'host'}.none{tail}"
+            _check_route_name(rest, out)
+            flat.append(Route(name=rest, host=(only,)))
     out.value = tuple(flat)
 
 
@@ -361,10 +366,15 @@
             out.fault(f"{where}{name} is not offered")
 
 
+def _check_route_name(name: str, out: Translated) -> None:
+    """A route's name has the form of the installation file, also where it is made from its virtual host's."""
+    if NAME_PATTERN.fullmatch(name) is None:
+        out.fault(f"route {name!r}: {NAME_RULE}")
+
+
 def _route(told: route_components_pb2.Route, name: str, host: tuple[str, ...], out: Translated) -> Route:
     where = f"route {name!r}: "
-    if not 1 <= len(name) <= 128 or not all("!" <= c <= "~" for c in name):
-        out.fault(f"{where}a name has 1 to 128 visible ASCII characters")
+    _check_route_name(name, out)
     _no_extras(told, where, out, ADDED)
     values: dict[str, Any] = {"name": name, "host": host}
     match = told.match
