The soak disturbs links, too: cut, held, delayed and reset, in front of real processes

A control replica is cut off from the others, a proxy from all of them; what others send to a proxy is held or delayed; connections are reset. A report of UNSERVED says how the operation's attempts were answered, and which proxies were disturbed meanwhile.

--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -19,6 +19,7 @@
 ROOT = Path(__file__).parent.parent
 SECONDS_TO_START = 60.0
 LONG = 20 << 20
+INNER_NETWORK_OFFSET = 100  # between the second numbers of a machine's address and of the one behind its link
 MISDIRECTED = b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\nX-Brackengate-Attempt-Id: %s\r\n\r\n"
 
 
@@ -199,6 +200,12 @@
         raise ConnectionResetError(str(error)) from None
 
 
+def inner_ip(ip: str) -> str:
+    """Where the process of a machine with this address listens if there is a link in front of it."""
+    first, second, rest = ip.split(".", 2)
+    return f"{first}.{int(second) + INNER_NETWORK_OFFSET}.{rest}"
+
+
 def spoil(file: Path, what: bytes) -> bool:
     """Change a byte in the last place that holds `what`; whether there is one."""
     held = bytearray(file.read_bytes())
@@ -210,8 +217,17 @@
 
 
 class Mesh:
-    def __init__(self, folder: Path, lighthouses: int = 3, pilots: int = 4, first_port: int = 18300) -> None:
-        self.folder, self.ports = folder, Ports(first_port)
+    def __init__(
+        self,
+        folder: Path,
+        lighthouses: int = 3,
+        pilots: int = 4,
+        first_port: int = 18300,
+        behind_links: bool = False,
+    ) -> None:
+        """`behind_links`: the internal ports of lighthouses and `Inbound` of pilots listen at `inner_ip`;
+        who made the mesh puts links in front of them."""
+        self.folder, self.ports, self._behind_links = folder, Ports(first_port), behind_links
         self.core = [
             Machine(f"127.10.{n + 1}.1", f"z{n + 1}", "lighthouse", folder / f"core-{n + 1}")
             for n in range(lighthouses)
@@ -233,9 +249,10 @@
         machine.folder.mkdir(exist_ok=True)
         ports = self.ports
         seeds = [f"{one.ip}:{ports.control}" for one in self.core[:3]]
+        behind = inner_ip(machine.ip) if self._behind_links else machine.ip
         lines = [
             f'Node = "{machine.folder.name}"',
-            f'Ip = "{machine.ip}"',
+            f'Ip = "{machine.ip if machine.role == "pilot" else behind}"',
             f'Zone = "{machine.zone}"',
             f"InternalPorts = [{ports.internal}, {ports.internal + 3}]",
             f"Seeds = {json.dumps(seeds)}",
@@ -246,11 +263,11 @@
         if machine.role == "pilot":
             lines += [f'Plant = "{machine.plant}"', f'Application = "{machine.ip}:{ports.application}"']
             listen += [
-                f'{name} = "{machine.ip}:{port}"'
-                for name, port in (
-                    ("Inbound", ports.inbound),
-                    ("Outbound", ports.outbound),
-                    ("Readiness", ports.readiness),
+                f'{name} = "{ip}:{port}"'
+                for name, ip, port in (
+                    ("Inbound", behind, ports.inbound),
+                    ("Outbound", machine.ip, ports.outbound),
+                    ("Readiness", machine.ip, ports.readiness),
                 )
             ]
         else:
--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -21,6 +21,7 @@
 
 from standins.mesh import Mesh
 from standins.soak.clients import Client, Operator
+from standins.soak.links import Links
 from standins.soak.machines import Machines
 from standins.soak.plan import Disturbance, draw
 from standins.soak.records import APPLY_TIME_S, CONTACT_S, Records, violations
@@ -61,20 +62,28 @@
         return "\n".join([head, *(f"  {one}" for one in self.violations)])
 
 
-async def soak(seed: int, seconds: float, core: int, proxies: int, folder: Path) -> Report:
-    """Plays one soak."""
-    mesh, records = Mesh(folder, core, proxies, first_port_of(seed)), Records()
-    machines, rng = Machines(mesh, records), random.Random(f"{seed}.work")
+async def soak(
+    seed: int, seconds: float, core: int, proxies: int, folder: Path, linked: bool = False
+) -> Report:
+    """Plays one soak.  `linked`: with links in front of the machines, which are disturbed too."""
+    records = Records()
+    mesh = Mesh(folder, core, proxies, first_port_of(seed), linked)
+    links = Links(mesh) if linked else None
+    machines, rng = Machines(mesh, records, links), random.Random(f"{seed}.work")
     for upstream in mesh.upstreams:
         upstream.work_s = rng.uniform(*UPSTREAM_WORK_S) if rng.random() < 0.5 else UPSTREAM_WORK_S[0]
-    plan = draw(seed, seconds, core, proxies)
+    plan = draw(seed, seconds, core, proxies, linked)
     try:
+        if links is not None:
+            await links.start()
         await mesh.start()
         before = machines.descriptors()
         await _play(mesh, records, machines, plan, seed, seconds)
         after = machines.descriptors()
     finally:
         await mesh.stop()
+        if links is not None:
+            await links.stop()
     records.runs = [run for upstream in mesh.upstreams for run in upstream.ran]
     return _report(records, machines, plan, seed, seconds, (before, after))
 
@@ -150,10 +159,18 @@
 @click.option("--seconds", default=40.0, show_default=True, help="How long clients are at work in each.")
 @click.option("--core", default=3, show_default=True, help="Control replicas.")
 @click.option("--proxies", default=6, show_default=True, help="Proxies, each with an upstream.")
+@click.option("--links", is_flag=True, help="Disturb the links between machines, too.")
 @click.option("--json", "json_path", type=click.Path(path_type=Path), help="Write all reports there.")
 @click.option("--keep", type=click.Path(path_type=Path), help="Keep the machines' folders and log there.")
 def main(
-    seed: int, runs: int, seconds: float, core: int, proxies: int, json_path: Path | None, keep: Path | None
+    seed: int,
+    runs: int,
+    seconds: float,
+    core: int,
+    proxies: int,
+    links: bool,
+    json_path: Path | None,
+    keep: Path | None,
 ) -> None:
     """Soak the mesh on this machine under drawn signals, restarts and orders."""
     reports: list[Report] = []
@@ -163,7 +180,7 @@
             if keep is not None:
                 folder = keep / str(one)
                 folder.mkdir(parents=True)
-            reports.append(asyncio.run(soak(one, seconds, core, proxies, folder)))
+            reports.append(asyncio.run(soak(one, seconds, core, proxies, folder, links)))
             print(reports[-1].text(), flush=True)
     if json_path is not None:
         json_path.write_text(json.dumps([asdict(report) for report in reports], indent=1) + "\n")
--- a/standins/soak/machines.py
+++ b/standins/soak/machines.py
@@ -9,7 +9,8 @@
 from pathlib import Path
 
 from standins.mesh import Machine, Mesh
-from standins.soak.plan import Action, Disturbance
+from standins.soak.links import Links
+from standins.soak.plan import CORE_LINK_ACTIONS, PROXY_LINK_ACTIONS, Action, Disturbance
 from standins.soak.records import Records, Trouble
 
 WATCH_INTERVAL_S = 0.1
@@ -18,13 +19,14 @@
 START_TIMEOUT_S = 20.0
 # SIGHUP in the first 0.2 s of a process ends it (review/REPORT-2.md): known, and no part of the soak yet.
 LEAST_AGE_FOR_RELOAD_S = 1.0
+_LINK_ACTIONS = {*CORE_LINK_ACTIONS, *PROXY_LINK_ACTIONS}
 
 
 class Machines:
     """The processes of a mesh under disturbances."""
 
-    def __init__(self, mesh: Mesh, records: Records) -> None:
-        self._mesh, self._records = mesh, records
+    def __init__(self, mesh: Mesh, records: Records, links: Links | None) -> None:
+        self._mesh, self._records, self._links = mesh, records, links
         self._expected_to_end: set[Machine] = set()
         self._reported: set[Machine] = set()
         self._started_at: dict[Machine, float] = {}
@@ -70,6 +72,8 @@
             await self._freeze(machine, one.lasts)
         elif one.action is Action.RELOAD:
             self._reload(machine)
+        elif one.action in _LINK_ACTIONS:
+            await self._disturb_link(machine, one)
         else:
             await self._restart(machine, one)
         planned = one.action in (Action.TERMINATE, Action.RELOAD)
@@ -88,6 +92,20 @@
         if time.monotonic() - self._started_at.get(machine, 0.0) >= LEAST_AGE_FOR_RELOAD_S:
             machine.process.send_signal(signal.SIGHUP)
 
+    async def _disturb_link(self, machine: Machine, one: Disturbance) -> None:
+        assert self._links is not None
+        if one.action is Action.RESET:
+            self._links.reset(machine)
+            return
+        if one.action is Action.CUT:
+            fault = self._links.holding(machine, [other for other in self._mesh.core if other is not machine])
+        elif one.action is Action.HOLD:
+            fault = self._links.holding_requests(machine)
+        else:
+            fault = self._links.delaying(machine, one.delay_s)
+        with fault:
+            await asyncio.sleep(one.lasts)
+
     async def _restart(self, machine: Machine, one: Disturbance) -> None:
         self._expected_to_end.add(machine)
         await self._end(machine, one.action)
--- a/standins/soak/plan.py
+++ b/standins/soak/plan.py
@@ -25,17 +25,28 @@
     WIPE = "KILL, disk lost"  # and it is started again with an empty disk
     RELOAD = "HUP"
     FREEZE = "STOP, CONT"
-
-
-CORE_ACTIONS = tuple(Action)
-PROXY_ACTIONS = (Action.TERMINATE, Action.KILL, Action.RELOAD, Action.FREEZE)
-# How long it lasts: until the restart, or until CONT.
+    CUT = "cut"  # from the other control replicas; a proxy from all of them
+    HOLD = "requests held"  # what others send to a proxy, and its answers, are held and arrive late
+    DELAY = "delay"  # of all that passes its link
+    RESET = "connections reset"
+
+
+CORE_PROCESS_ACTIONS = (Action.TERMINATE, Action.KILL, Action.WIPE, Action.RELOAD, Action.FREEZE)
+PROXY_PROCESS_ACTIONS = (Action.TERMINATE, Action.KILL, Action.RELOAD, Action.FREEZE)
+CORE_LINK_ACTIONS = (Action.CUT, Action.DELAY, Action.RESET)
+PROXY_LINK_ACTIONS = (Action.CUT, Action.HOLD, Action.DELAY, Action.RESET)
+DELAYS_S = (0.02, 0.4)
+# How long it lasts: until the restart, until CONT, or until the link is whole again.
 DURATIONS_S = {
     Action.TERMINATE: (0.1, 2.0),
     Action.KILL: (0.1, 2.0),
     Action.WIPE: (0.1, 2.0),
     Action.RELOAD: (0.0, 0.0),
     Action.FREEZE: (0.1, 3.0),
+    Action.CUT: (0.5, 5.5),
+    Action.HOLD: (0.1, 3.0),
+    Action.DELAY: (0.5, 4.0),
+    Action.RESET: (0.0, 0.0),
 }
 
 
@@ -48,6 +59,7 @@
     is_core: bool
     machine: int
     lasts: float
+    delay_s: float = 0.0
 
     @property
     def ends(self) -> float:
@@ -55,39 +67,48 @@
         return self.at + self.lasts
 
 
-def draw(seed: int, seconds: float, core: int, proxies: int) -> list[Disturbance]:
-    """The disturbances of a soak of this length, in the order of time."""
+def draw(seed: int, seconds: float, core: int, proxies: int, links: bool = False) -> list[Disturbance]:
+    """The disturbances of a soak of this length, in the order of time.
+
+    `links`: there are links in front of the machines, which are disturbed too.  Without them, a machine whose
+    process is gone refuses connections at once.
+    """
     rng = random.Random(seed)
     found: list[Disturbance] = []
     at = FIRST_AT_S
     while at < seconds - CALM_END_S:
         if rng.random() < 1 / 3:
-            found += _of_core(rng, at, core, found)
+            found += _of_core(rng, at, core, found, links)
         else:
-            found += _of_proxies(rng, at, proxies, found)
+            found += _of_proxies(rng, at, proxies, found, links)
         at += rng.uniform(LEAST_GAP_S, GREATEST_GAP_S)
     return sorted((one for one in found if one.ends < seconds - CALM_END_S), key=lambda one: one.at)
 
 
 def _of_core(
-    rng: random.Random, at: float, count: int, before: Sequence[Disturbance]
+    rng: random.Random, at: float, count: int, before: Sequence[Disturbance], links: bool
 ) -> Iterator[Disturbance]:
     """One disk may be lost at once: a machine counts as lost until it has settled."""
     if any(one.is_core and at < one.ends + SETTLING_S for one in before):
         return
-    action = rng.choice(CORE_ACTIONS)
-    yield Disturbance(at, action, True, rng.randrange(count), rng.uniform(*DURATIONS_S[action]))
+    action = rng.choice(CORE_PROCESS_ACTIONS + CORE_LINK_ACTIONS if links else CORE_PROCESS_ACTIONS)
+    yield _disturbance(rng, at, action, True, rng.randrange(count))
 
 
 def _of_proxies(
-    rng: random.Random, at: float, count: int, before: Sequence[Disturbance]
+    rng: random.Random, at: float, count: int, before: Sequence[Disturbance], links: bool
 ) -> Iterator[Disturbance]:
     """One proxy, or a series of them."""
-    action = rng.choice(PROXY_ACTIONS)
+    action = rng.choice(PROXY_PROCESS_ACTIONS + PROXY_LINK_ACTIONS if links else PROXY_PROCESS_ACTIONS)
     busy = {one.machine for one in before if not one.is_core and at < one.ends + RECOVERY_S}
     free = [machine for machine in range(count) if machine not in busy]
     room = int(count * DISTURBED_SHARE) - len(busy)
     chosen = rng.sample(free, max(0, min(len(free), room, count if rng.random() < SERIES_SHARE else 1)))
     for number, machine in enumerate(chosen):
-        begin = at + number * SERIES_GAP_S
-        yield Disturbance(begin, action, False, machine, rng.uniform(*DURATIONS_S[action]))
+        yield _disturbance(rng, at + number * SERIES_GAP_S, action, False, machine)
+
+
+def _disturbance(rng: random.Random, at: float, action: Action, is_core: bool, machine: int) -> Disturbance:
+    lasts = rng.uniform(*DURATIONS_S[action])
+    delay_s = rng.uniform(*DELAYS_S) if action is Action.DELAY else 0.0
+    return Disturbance(at, action, is_core, machine, lasts, delay_s)
--- a/standins/soak/records.py
+++ b/standins/soak/records.py
@@ -157,7 +157,25 @@
         if not operation.served and operation.key not in ran:
             first, last = operation.attempts[0], operation.attempts[-1]
             if last.ended_at - first.sent_at >= GIVE_UP_S:
-                yield f"UNSERVED: {operation.key or first.id} for {last.ended_at - first.sent_at:.1f} s"
+                yield (
+                    f"UNSERVED: {operation.key or first.id} for {last.ended_at - first.sent_at:.1f} s;"
+                    f" {_what_befell(operation, records.troubles)}"
+                )
+
+
+def _what_befell(operation: Operation, troubles: Iterable[Trouble]) -> str:
+    """How its attempts were answered, and which of the proxies that it asked were disturbed meanwhile."""
+    statuses = Counter(one.status for one in operation.attempts)
+    disturbed = sorted(
+        {
+            one.proxy
+            for one in operation.attempts
+            for trouble in troubles
+            if not trouble.is_core and not trouble.planned and trouble.machine == one.proxy
+            if trouble.begin < one.ended_at and one.sent_at < trouble.end
+        }
+    )
+    return f"answers {dict(statuses)}, asked proxies {disturbed} as they were disturbed"
 
 
 def _old_configuration(records: Records) -> Iterator[str]:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,31 +10,52 @@
 import pytest
 
 from standins.soak.__main__ import soak
-from standins.soak.plan import CALM_END_S, SETTLING_S, Action, draw
+from standins.soak.plan import (
+    CALM_END_S,
+    CORE_LINK_ACTIONS,
+    CORE_PROCESS_ACTIONS,
+    PROXY_LINK_ACTIONS,
+    PROXY_PROCESS_ACTIONS,
+    SETTLING_S,
+    Action,
+    draw,
+)
 from standins.soak.records import Attempt, ConfigRead, Operation, Order, Probe, Records, Trouble, violations
 
 SEED, SECONDS = 20261204, 30.0
 
 
+@pytest.mark.parametrize("links", [False, True])
 @pytest.mark.parametrize("seed", range(40))
-def test_a_plan_loses_one_control_replica_at_once_and_ends_in_calm(seed: int) -> None:
-    plan = draw(seed, 60.0, core=3, proxies=6)
-    assert len(plan) > 5 and plan == draw(seed, 60.0, core=3, proxies=6)
+def test_a_plan_loses_one_control_replica_at_once_and_ends_in_calm(seed: int, links: bool) -> None:
+    plan = draw(seed, 60.0, core=3, proxies=6, links=links)
+    assert len(plan) > 5 and plan == draw(seed, 60.0, core=3, proxies=6, links=links)
     assert all(one.ends < 60.0 - CALM_END_S for one in plan)
     core = [one for one in plan if one.is_core]
     assert all(after.at >= before.ends + SETTLING_S for before, after in pairwise(core))
 
 
-def test_plans_have_every_action_series_and_overlaps() -> None:
-    plans = [draw(seed, 60.0, core=3, proxies=6) for seed in range(40)]
-    assert {(one.action, one.is_core) for plan in plans for one in plan} == {
-        *((action, True) for action in Action),
-        *((action, False) for action in Action if action is not Action.WIPE),
+@pytest.mark.parametrize("links", [False, True])
+def test_plans_have_every_action_series_and_overlaps(links: bool) -> None:
+    plans = [draw(seed, 60.0, core=3, proxies=6, links=links) for seed in range(40)]
+    expected = {
+        *((action, True) for action in CORE_PROCESS_ACTIONS + CORE_LINK_ACTIONS * links),
+        *((action, False) for action in PROXY_PROCESS_ACTIONS + PROXY_LINK_ACTIONS * links),
     }
+    assert {(one.action, one.is_core) for plan in plans for one in plan} == expected
     pairs = [(a, b) for plan in plans for a, b in pairwise(plan)]
     assert sum(b.at < a.ends for a, b in pairs) > 100
 
 
+def test_all_actions_are_played() -> None:
+    assert set(Action) == {
+        *CORE_PROCESS_ACTIONS,
+        *CORE_LINK_ACTIONS,
+        *PROXY_PROCESS_ACTIONS,
+        *PROXY_LINK_ACTIONS,
+    }
+
+
 def answered(id_: str = "a1", key: str = "k1", proxy: int = 0, at: float = 10.0, body: str = "") -> Operation:
     body = body or f"i-1 {id_}"
     return Operation(key, [Attempt(id_, key, proxy, at, at + 0.1, 200, body.encode())])
@@ -98,8 +119,9 @@
 
 
 @pytest.mark.alone
-def test_a_short_soak_breaks_no_rule(tmp_path: Path) -> None:
+@pytest.mark.parametrize("links", [False, True])
+def test_a_short_soak_breaks_no_rule(links: bool, tmp_path: Path) -> None:
     """Longer ones by hand: `python -m standins.soak --runs 50`."""
-    report = asyncio.run(asyncio.wait_for(soak(SEED, SECONDS, 3, 4, tmp_path), 120))
+    report = asyncio.run(asyncio.wait_for(soak(SEED, SECONDS, 3, 4, tmp_path, links), 120))
     assert report.violations == []
     assert report.requests > 300 and report.restarts > 0 and report.orders > 5
