The emulator names routes, services and upstreams as operators may: any letters and lengths

Change: what a simulated mesh sends has names drawn by the seed in half of its runs (names.py): spaces, percent signs, other alphabets, 200 letters and more, for routes also control characters; the records keep the scenario's plain names. `names = "plain"` or "any" fixes it; scenarios about bytes are plain.

--- a/benchmarks/big_orders.py
+++ b/benchmarks/big_orders.py
@@ -38,6 +38,7 @@
 SCENARIO = """
 kind = "mesh"
 name = "big-orders"
+names = "plain"
 length = "{length}s"
 link = 2.0
 core_link = 100.0
--- a/brackengate/emulator/mesh/people.py
+++ b/brackengate/emulator/mesh/people.py
@@ -11,6 +11,7 @@
 
 from brackengate.emulator.loop import MS, Loop, S
 from brackengate.emulator.mesh.ground import MachineNetwork
+from brackengate.emulator.mesh.names import WireNames
 from brackengate.emulator.mesh.order_troubles import ChangeFaults
 from brackengate.emulator.mesh.scenario import MeshScenario, Route
 from brackengate.emulator.mesh.talk import HttpMessage, HttpRequest, encode_message
@@ -31,6 +32,7 @@
     net: MachineNetwork
     scenario: MeshScenario
     services: list[str]
+    names: WireNames
 
     def trace(self, what: str, *of: object) -> None:
         """Records an event."""
@@ -386,6 +388,7 @@
         attempt is not sent to; `done`: called once it is acknowledged; `digits`: number of random, so
         incompressible, hexadecimal digits that are added to each route.
         """
+        names = self._context.names
         paths: list[dict[str, object]] = []
         removed: list[dict[str, object]] = []
         items: list[tuple[str, int, tuple[str, ...]]] = []
@@ -396,11 +399,11 @@
             items.append((name, number, services))
             self._used_versions.setdefault(name, set()).add(number)
             if not services:
-                removed.append({"Name": name, "Revision": f"r{number}"})
+                removed.append({"Name": names.route(name), "Revision": f"r{number}"})
                 continue
             route = self._context.scenario.route.get(name)
             path: dict[str, object] = {
-                "Name": name,
+                "Name": names.route(name),
                 "PathPrefix": f"/{name}/",
                 "SignalKind": route.kind if route else "idempotent",
                 "Cutoff": f"{(int(route.deadline) if route else 500 * MS) // MS}ms",
@@ -410,20 +413,22 @@
                 "Revision": f"r{number}",
             }
             if len(services) == 1:
-                path["Plant"] = services[0]
+                path["Plant"] = names.service(services[0])
             else:
-                path["Split"] = [{"Plant": one, "Gain": 1} for one in services]
+                path["Split"] = [{"Plant": names.service(one), "Gain": 1} for one in services]
             if digits:
                 path["Note"] = f"{self._ack_rng.getrandbits(4 * digits):x}"
             paths.append(path)
         call: dict[str, object] = {"Hosts": [{"Host": HOST, "Paths": paths}]} if paths else {}
         if plants is not None:
-            call["Plants"] = plants
+            call["Plants"] = [{**plant, "Name": names.service(str(plant["Name"]))} for plant in plants]
         if limits is not None:
             call["Limits"] = limits
         remove: dict[str, object] = {"Routes": removed}
         if removed_plants:
-            remove["Plants"] = [{"Name": name, "Revision": f"r{number}"} for name, number in removed_plants]
+            remove["Plants"] = [
+                {"Name": names.service(name), "Revision": f"r{number}"} for name, number in removed_plants
+            ]
         body = json.dumps({"Apply": call, "Remove": remove}).encode()
         self._changes += 1
         change = Change(self._changes, body, items, valid, avoid=avoid, done=done)
@@ -509,7 +514,7 @@
 
     def read(self, duration: int) -> None:
         """Reads the configuration back repeatedly for `duration` microseconds."""
-        first = self.loop.now
+        first, names = self.loop.now, self._context.names
 
         def ask() -> None:
             data = encode_message("POST /v1/rpc?call=config.read HTTP/1.1", {"Host": "core"})
@@ -521,10 +526,9 @@
                 routes_read: list[tuple[str, int, tuple[str, ...]]] = []
                 for host in json.loads(response.body).get("Hosts", []):
                     for path in host["Paths"]:
-                        split = [one["Plant"] for one in path.get("Split") or []]
-                        routes_read.append(
-                            (path["Name"], int(path["Revision"][1:]), tuple(split or [path["Plant"]]))
-                        )
+                        plants = [one["Plant"] for one in path.get("Split") or []] or [path["Plant"]]
+                        services = tuple(map(names.plain, plants))
+                        routes_read.append((names.plain(path["Name"]), int(path["Revision"][1:]), services))
                 self.trace("read", tuple(routes_read), started)
             else:
                 self.trace("unread", response.status if response is not None else reason)
--- a/brackengate/emulator/mesh/scenario.py
+++ b/brackengate/emulator/mesh/scenario.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 from typing import Annotated, Literal
 
+from brackengate.emulator.mesh.names import Names
 from brackengate.emulator.scenario import Found, Name, Network, Part
 from brackengate.installation.reading import Key, parse_as, read_as
 from brackengate.installation.schema import MS, Bounds, S, Section
@@ -162,6 +163,8 @@
     name: Name
     length: Annotated[Duration, Bounds(S, 30 * 24 * 3600 * S)]
     zones: tuple[Name, ...] = ("a", "b", "c")
+    # Of routes, services and upstreams on the wire: as here, of any letters and lengths, or by the seed.
+    names: Names = "drawn"
     network: Network = Network()
     core: Core = Core()
     link: Annotated[float, Bounds(0.0, 1e6)] = 0.0  # Mbit/s of a proxy's machine, each way; 0: unlimited
--- a/brackengate/emulator/mesh/upstream.py
+++ b/brackengate/emulator/mesh/upstream.py
@@ -8,9 +8,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
+from urllib.parse import quote
 
 from brackengate.emulator.loop import MS, Loop, S
 from brackengate.emulator.mesh.ground import MachineNetwork
+from brackengate.emulator.mesh.names import WireNames, from_header
 from brackengate.emulator.mesh.scenario import Service
 from brackengate.emulator.mesh.talk import (
     HttpMessage,
@@ -55,7 +57,10 @@
         control: Address,
         feedback: int,
         drain: int,
+        names: WireNames,
     ) -> None:
+        """`names`: by which the id and the service are given on the wire, as the records have plain ones."""
+        self._names, self._wire_id = names, names.upstream(id_)
         self._loop, self._rng, self._trace, self.id, self.service = loop, rng, trace, id_, plant
         self._config, self._control, self._feedback, self._drain = config, control, feedback, drain
         self._address, self._zone = address, net.zones[address[0]]
@@ -97,7 +102,7 @@
         draining = self.state == "draining"
         warmup_left = max(0, self._started + WARMUP_US - self._loop.now)
         report = {
-            "Plant": self.service,
+            "Plant": self._names.service(self.service),
             "Address": f"{self._address[0]}:{self._address[1]}",
             "Zone": self._zone,
             "Revision": "v1",
@@ -123,7 +128,7 @@
         self._call("instances.leave", b"{}", lambda message, reason: self._finish())
 
     def _call(self, name: str, body: bytes, on_response: Callable[[HttpMessage | None, str], None]) -> None:
-        start_line = f"POST /v1/rpc?call={name}&of={self.id} HTTP/1.1"
+        start_line = f"POST /v1/rpc?call={name}&of={quote(self._wire_id, safe='')} HTTP/1.1"
         data = encode_message(start_line, {"Host": "pilot", "Content-Type": "application/json"}, body)
         HttpRequest(self.process, self._control, data, on_response, S)
 
@@ -154,7 +159,8 @@
         time_left = int(fields.get("x-brackengate-deadline-ms", "1000"))
         request = PendingRequest(end, message, self._loop.now + time_left * MS)
         attempt = fields.get("x-brackengate-attempt-id", "")
-        if fields.get("x-brackengate-target-instance", self.id) != self.id:
+        target = fields.get("x-brackengate-target-instance")
+        if target is not None and from_header(target) != self._wire_id:
             self._answer(request, 421, not_executed=True)
             return request
         self._trace("arrived", self.id, self.service, attempt)
@@ -169,7 +175,8 @@
     def _run(self, request: PendingRequest) -> None:
         fields, method, target = request.message.fields, *request.message.start_line.split()[:2]
         attempt = fields.get("x-brackengate-attempt-id", "")
-        key, caller = (fields.get(f"x-brackengate-{x}", "") for x in ("operation-key", "caller-service"))
+        key = fields.get("x-brackengate-operation-key", "")
+        caller = self._names.plain(from_header(fields.get("x-brackengate-caller-service", "")))
         self._busy += 1
         body = request.message.body.decode("latin-1")
         self._trace("ran", self.id, self.service, attempt, key, caller, f"{method} {target} {body}")
--- a/brackengate/emulator/mesh/world.py
+++ b/brackengate/emulator/mesh/world.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import json
 import random
 from collections.abc import Callable, Iterable
 from functools import partial
@@ -15,6 +16,7 @@
 from brackengate.emulator.loop import MS, Loop, S
 from brackengate.emulator.mesh.disk import EmulatedDisk, ProcessDisk
 from brackengate.emulator.mesh.ground import MachineNetwork, RoleProcess, create_environment
+from brackengate.emulator.mesh.names import WireNames
 from brackengate.emulator.mesh.people import Callers, Operators
 from brackengate.emulator.mesh.scenario import MeshScenario
 from brackengate.emulator.mesh.upstream import Upstream
@@ -170,6 +172,7 @@
             (self.ip, CONTROL),
             int(limits.feedback),
             int(limits.drain),
+            world.names,
         )
 
 
@@ -184,6 +187,7 @@
             self.loop, random.Random(f"{seed}/net"), int(net.same), int(net.cross), net.jitter
         )
         self.services = list(scenario.service)
+        self.names = WireNames(scenario.names, seed)
         self._ids = 0
         zones = scenario.zones
         self.control_machines = [
@@ -286,7 +290,8 @@
         if machine.is_control:
             lines += ['DataDir = "disk"']
         else:
-            lines += [f'Plant = "{machine.service}"', f'Application = "{machine.ip}:{APPLICATION}"']
+            service = json.dumps(self.names.service(machine.service), ensure_ascii=False)
+            lines += [f"Plant = {service}", f'Application = "{machine.ip}:{APPLICATION}"']
             listen += [
                 f'{name} = "{machine.ip}:{port}"'
                 for name, port in (("Inbound", INBOUND), ("Outbound", OUTBOUND), ("Readiness", READINESS))
