--- a/standins/soak/records.py
+++ b/standins/soak/records.py
@@ -169,7 +169,7 @@
             if last.ended_at - first.sent_at >= GIVE_UP_S:
                 yield (
                     f"UNSERVED: {operation.key or first.id} for {last.ended_at - first.sent_at:.1f} s;"
-                    f" {_what_befell(operation, records.troubles)}"
+                    f" {_attempts_summary(operation, records.troubles)}"
                 )
 
 
@@ -185,8 +185,8 @@
     )
 
 
-def _what_befell(operation: Operation, troubles: Iterable[Trouble]) -> str:
-    """How its attempts were answered, and which of the proxies that it asked were disturbed meanwhile."""
+def _attempts_summary(operation: Operation, troubles: Iterable[Trouble]) -> str:
+    """How its attempts were answered, and which of the proxies that it asked were disturbed then."""
     statuses = Counter(one.status for one in operation.attempts)
     disturbed = sorted(
         {
@@ -197,7 +197,7 @@
             if trouble.begin < one.ended_at and one.sent_at < trouble.end
         }
     )
-    return f"answers {dict(statuses)}, asked proxies {disturbed} as they were disturbed"
+    return f"answers {dict(statuses)}, disturbed when asked: proxies {disturbed}"
 
 
 def _old_configuration(records: Records) -> Iterator[str]:
