--- a/tests/proxy/proxy_pair.py
+++ b/tests/proxy/proxy_pair.py
@@ -170,11 +170,16 @@
 
     def add_route(self, name: str, kind: str = "idempotent", prefix: str = "", **settings: Any) -> None:
         """`prefix`: by default the name.  `settings`: further ones of the route."""
-        route = _route(name, kind, self.service, prefix, **settings)
-        self.table.apply_changes(self.table.index + 1, [route])
+        self.table.apply_changes(self.table.index + 1, [self.make_route(name, kind, prefix, **settings)])
         self.egress.apply_table_changes()
         self.egress.unrouted.recheck()
 
+    def make_route(
+        self, name: str, kind: str = "idempotent", prefix: str = "", **settings: Any
+    ) -> tuple[str, str, Any]:
+        """The row of such a route, under the host `h`."""
+        return _route(name, kind, self.service, prefix, **settings)
+
     def _address_of(self, machine: str) -> tuple[str, int]:
         return LOCAL, self.holder.inbound if self.holder and machine == "other" else self.inbound
 
